catkinhead: serve a step, a completion and a plain call from end to end

A trainer opens a step at any instance, its samples run on engines that batch, stream and swap weights, each comes back once with the versions that produced it, and usage is sealed and reported by window. Decisions are one reducer of sub-reducers, each concern with a state of its own; runners carry the effects out.

--- /dev/null
+++ b/internal/admit/target.go
@@ -0,0 +1,219 @@
+package admit
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/catkinhead/catkinhead/internal/op"
+	"github.com/catkinhead/catkinhead/pkg/clock"
+	"github.com/catkinhead/catkinhead/pkg/platform"
+	"github.com/catkinhead/catkinhead/pkg/unit"
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// pollEvery is the time between load reports of a target.
+	pollEvery clock.Millis = 500
+	// downFor is how long a failed target gets no work without a report.
+	downFor clock.Millis = clock.Second
+	// untriedLimit is what a target gets before its first report.
+	untriedLimit = 2
+	// maxTargets bounds the targets of one pool that an instance uses.
+	maxTargets = 96
+	// leavingTold is how long peers are told that a target leaves.
+	leavingTold clock.Millis = 30 * clock.Second
+)
+
+// Target is one target as this instance sees it.
+type Target struct {
+	platform.TargetState
+	Name unit.Target
+	// Load is the newest report; Reported is set once there was one.
+	Load     platform.Load
+	Reported bool
+	// Others is what other instances had there at the newest report.
+	Others int
+	// InFlight counts our own runs, Suspects those that are suspects.
+	InFlight int
+	Suspects int
+	// Leaving closes admission. It never opens again.
+	Leaving   bool
+	LeavingAt clock.Millis
+	// DownUntil bounds a pause after a failure.
+	DownUntil clock.Millis
+	Polling   bool
+	PollAt    clock.Millis
+}
+
+// SetTargets puts a list of targets in force. Runs on targets that are gone
+// from it go on.
+func (s *State) SetTargets(now clock.Millis, list []platform.TargetState, out *op.List) {
+	seen := make(map[unit.Target]bool)
+	for _, x := range s.subset(list) {
+		seen[x.Target] = true
+		t := s.Targets[x.Target]
+		if t == nil || t.Address != x.Address {
+			t = &Target{TargetState: x, Name: x.Target}
+			s.Targets[x.Target] = t
+		}
+		t.Pool, t.DataCentre = x.Pool, x.DataCentre
+		if x.Leaving {
+			t.leave(now)
+		}
+	}
+	for name, t := range s.Targets {
+		if !seen[name] {
+			t.leave(now)
+			if t.InFlight == 0 && now-t.LeavingAt > leavingTold {
+				delete(s.Targets, name)
+			}
+		}
+	}
+	s.regroup()
+	s.driveAll(now, out)
+}
+
+// subset picks the targets that this instance uses of large pools, by
+// rendezvous hashing, so that the coming or going of one moves only one.
+func (s *State) subset(list []platform.TargetState) []platform.TargetState {
+	byPool := make(map[unit.Pool][]platform.TargetState)
+	for _, x := range list {
+		byPool[x.Pool] = append(byPool[x.Pool], x)
+	}
+	var out []platform.TargetState
+	for _, name := range slices.Sorted(maps.Keys(byPool)) {
+		ts := byPool[name]
+		if len(ts) > maxTargets {
+			slices.SortFunc(ts, func(a, b platform.TargetState) int {
+				return cmp.Compare(s.affinity(b.Target), s.affinity(a.Target))
+			})
+			ts = ts[:maxTargets]
+		}
+		out = append(out, ts...)
+	}
+	return out
+}
+
+func (s *State) affinity(t unit.Target) uint64 {
+	return xxhash.Sum64String(string(s.Self) + "/" + string(t))
+}
+
+// regroup lists the targets of each pool anew.
+func (s *State) regroup() {
+	for _, p := range s.Pools {
+		p.Targets = nil
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.Targets)) {
+		t := s.Targets[name]
+		p := s.pool(t.Pool)
+		p.Targets = append(p.Targets, t)
+	}
+}
+
+func (s *State) pool(name unit.Pool) *Pool {
+	p := s.Pools[name]
+	if p == nil {
+		p = &Pool{}
+		s.Pools[name] = p
+	}
+	return p
+}
+
+// Leave closes admission to a target for good.
+func (s *State) Leave(now clock.Millis, name unit.Target) bool {
+	t := s.Targets[name]
+	if t == nil || t.Leaving {
+		return false
+	}
+	t.leave(now)
+	return true
+}
+
+// LeavingTargets returns the targets that peers should hear are leaving.
+func (s *State) LeavingTargets(now clock.Millis) []unit.Target {
+	var out []unit.Target
+	for name, t := range s.Targets {
+		if t.Leaving && now-t.LeavingAt < leavingTold {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Poll asks for the load reports that are due.
+func (s *State) Poll(now clock.Millis, out *op.List) {
+	for _, name := range slices.Sorted(maps.Keys(s.Targets)) {
+		t := s.Targets[name]
+		if t.Polling || now < t.PollAt {
+			continue
+		}
+		t.Polling = true
+		t.PollAt = now + pollEvery
+		out.Add(op.ReadLoad{Target: name, Address: t.Address})
+	}
+}
+
+// Loaded takes a load report in. It returns whether the target now leaves.
+func (s *State) Loaded(now clock.Millis, e op.LoadRead, out *op.List) bool {
+	t := s.Targets[e.Target]
+	if t == nil {
+		return false
+	}
+	t.Polling = false
+	if e.Result != op.Done {
+		t.DownUntil = now + 2*pollEvery
+		return false
+	}
+	was := t.Leaving
+	t.Load, t.Reported, t.DownUntil = e.Load, true, 0
+	t.Others = max(e.Load.Running+e.Load.Waiting-t.InFlight, 0)
+	if e.Load.Leaving {
+		t.leave(now)
+	}
+	s.drive(now, s.pool(t.Pool), out)
+	return t.Leaving && !was
+}
+
+func (t *Target) leave(now clock.Millis) {
+	if !t.Leaving {
+		t.Leaving, t.LeavingAt = true, now
+	}
+}
+
+// limit is how many runs this instance may have on the target: its slots and
+// a quarter more to keep it busy, less what others have there, and at least
+// an equal share.
+func (t *Target) limit(peers int) int {
+	if !t.Reported {
+		return untriedLimit
+	}
+	slots := max(t.Load.Slots, 1)
+	share := max(slots/max(peers, 1), 1)
+	return max(slots+(slots+3)/4-t.Others, share)
+}
+
+func (t *Target) attach(run *Run) {
+	t.InFlight++
+	if run.Suspect {
+		t.Suspects++
+	}
+}
+
+func (t *Target) detach(run *Run) {
+	t.InFlight--
+	if run.Suspect {
+		t.Suspects--
+	}
+}
+
+// ended learns from the end of an attempt.
+func (t *Target) ended(now clock.Millis, e op.Finished) {
+	if e.Leaving {
+		t.leave(now)
+	}
+	if !e.OK && (e.Crashed || e.Outcome == unit.NotRun) {
+		t.DownUntil = now + downFor
+	}
+}
--- /dev/null
+++ b/internal/cli/serve.go
@@ -0,0 +1,97 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/integrii/flaggy"
+	"github.com/sirupsen/logrus"
+
+	"github.com/catkinhead/catkinhead/internal/serve"
+	"github.com/catkinhead/catkinhead/internal/setting"
+)
+
+func (g *program) serveCommand() command {
+	set, envErr := setting.FromEnvironment()
+	instance, dc := string(set.Instance), string(set.DataCentre)
+	return command{
+		name: "serve", help: "run one instance until SIGTERM; secrets come from CATKINHEAD_FLEET_SECRET and CATKINHEAD_OPERATOR_KEY_HASH",
+		flags: func(s *flaggy.Subcommand) {
+			s.String(&instance, "i", "instance", "unique name of this instance")
+			s.String(&dc, "d", "data-centre", "data centre it runs in")
+			s.String(&set.Listen, "l", "listen", "host:port for callers, operators and peers")
+			s.String(&set.Advertise, "", "advertise", "host:port that peers use, if another")
+			s.String(&set.Platform, "p", "platform", "URL of the platform")
+			s.Duration(&set.Window, "w", "window", "length of a usage window")
+			s.Duration(&set.StoreTimeout, "", "store-timeout", "time limit of a call to the platform")
+			s.Duration(&set.DrainLag, "", "drain-lag", "how long a stopping instance still takes new requests")
+			s.Duration(&set.DrainDeadline, "", "drain-deadline", "time limit of a planned stop")
+			s.String(&set.Data, "", "data", "folder for the last configuration, if there is a disk")
+			s.String(&set.Record, "r", "record", "file for the trace of events")
+			s.String(&set.LogLevel, "", "log-level", "debug, info, warning or error")
+			s.Duration(&set.OrderPause, "", "order-pause", "for tests: pause between deciding on an order and sending it")
+		},
+		run: func(ctx context.Context) error {
+			if envErr != nil {
+				return &usageError{envErr.Error()}
+			}
+			set.Instance, set.DataCentre = unitInstance(instance), unitCentre(dc)
+			if err := set.Check(); err != nil {
+				return fmt.Errorf("settings are wrong:\n%w", err)
+			}
+			return serveUntil(ctx, set, g.err)
+		},
+	}
+}
+
+// serveUntil runs an instance until ctx ends. A second signal ends it at once.
+func serveUntil(ctx context.Context, set setting.Settings, logTo io.Writer) error {
+	log, err := newLogger(set.LogLevel, logTo)
+	if err != nil {
+		return err
+	}
+	app := serve.NewApp(set, log)
+	if err := app.Start(ctx); err != nil {
+		return fmt.Errorf("start: %w", err)
+	}
+	<-ctx.Done()
+	second := make(chan os.Signal, 1)
+	signal.Notify(second, os.Interrupt, syscall.SIGTERM)
+	defer signal.Stop(second)
+	stopCtx, cancel := context.WithTimeout(context.Background(), set.DrainDeadline+serve.StopExtra)
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- app.Stop(stopCtx) }()
+	select {
+	case err := <-ended:
+		if err != nil {
+			return fmt.Errorf("stop: %w", err)
+		}
+		return nil
+	case <-second:
+		return fmt.Errorf("stopped at once by a second signal; what was running is cut")
+	}
+}
+
+// newLogger writes JSON lines with names like the fields of the project.
+func newLogger(level string, to io.Writer) (*logrus.Logger, error) {
+	l, err := logrus.ParseLevel(level)
+	if err != nil {
+		return nil, fmt.Errorf("log level: %w", err)
+	}
+	log := logrus.New()
+	log.SetLevel(l)
+	log.SetOutput(to)
+	log.SetFormatter(&logrus.JSONFormatter{
+		TimestampFormat: time.RFC3339Nano,
+		FieldMap: logrus.FieldMap{
+			logrus.FieldKeyTime: "Time", logrus.FieldKeyLevel: "Level", logrus.FieldKeyMsg: "Message",
+		},
+	})
+	return log, nil
+}
--- /dev/null
+++ b/internal/config/text.go
@@ -0,0 +1,13 @@
+package config
+
+import (
+	"strconv"
+
+	"github.com/catkinhead/catkinhead/internal/member"
+	"github.com/catkinhead/catkinhead/internal/op"
+	"github.com/catkinhead/catkinhead/pkg/unit"
+)
+
+func text[N ~int64](n N) string { return strconv.FormatInt(int64(n), 10) }
+
+func instanceOf(e op.PeerHeard) unit.Instance { return member.NameOf(e.Know.From.Incarnation) }
--- /dev/null
+++ b/internal/lease/text.go
@@ -0,0 +1,9 @@
+package lease
+
+import (
+	"strconv"
+
+	"github.com/catkinhead/catkinhead/pkg/unit"
+)
+
+func fenceText(f unit.Fence) string { return strconv.FormatUint(uint64(f), 10) }
--- /dev/null
+++ b/internal/member/member.go
@@ -0,0 +1,295 @@
+package member
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/catkinhead/catkinhead/internal/op"
+	"github.com/catkinhead/catkinhead/pkg/clock"
+	"github.com/catkinhead/catkinhead/pkg/unit"
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// Every is the time between rounds of exchanges.
+	Every clock.Millis = 500
+	// fanOut is the number of peers asked a round.
+	fanOut = 2
+	// pushTo is the number of peers told at once of something new.
+	pushTo = 3
+	// sampleSize is the number of members told of in one exchange.
+	sampleSize = 12
+	// listEvery is the time between reads of the platform's list.
+	listEvery clock.Millis = 2 * clock.Second
+	// LiveFor is how long a member counts as live after its last beat.
+	LiveFor clock.Millis = 5 * clock.Second
+	// relays is the number of instances of a data centre that read the store.
+	relays = 2
+)
+
+// State is what is known of the fleet. Self must be set.
+type State struct {
+	Self    op.MemberInfo
+	Members map[unit.Instance]*Member
+	// Turn counts the exchanges begun, for their order.
+	Turn    int
+	RoundAt clock.Millis
+	ListAt  clock.Millis
+	Listing bool
+	// ListRead is set once the platform's list was read.
+	ListRead bool
+}
+
+// Member is one other instance.
+type Member struct {
+	op.MemberInfo
+	// BeatAt is when the beat last rose, or the member was first listed.
+	BeatAt clock.Millis
+	// HeardAt is when the newest exchange that we began with it began.
+	HeardAt clock.Millis
+	// Heard is set once there was one.
+	Heard bool
+	// Listed is set while the platform lists it.
+	Listed bool
+	// Busy is set while an exchange is under way.
+	Busy bool
+}
+
+// NameOf returns the instance of an incarnation.
+func NameOf(i unit.Incarnation) unit.Instance {
+	name, _, _ := strings.Cut(string(i), "#")
+	return unit.Instance(name)
+}
+
+// Reduce handles rounds, lists and exchanges. The Exchange effects lack what
+// is to be told, which the caller fills in.
+func (s *State) Reduce(now clock.Millis, ev op.Event, out *op.List) {
+	switch e := ev.(type) {
+	case op.Tick:
+		s.tick(now, out)
+	case op.ListRead:
+		s.Listing = false
+		if e.Result == op.Done {
+			s.ListRead = true
+			s.list(now, e)
+		}
+	case op.PeerHeard:
+		s.heard(now, e)
+	case op.PeerSilent:
+		if m := s.Members[e.Instance]; m != nil {
+			m.Busy = false
+		}
+	}
+}
+
+func (s *State) tick(now clock.Millis, out *op.List) {
+	if now >= s.ListAt && !s.Listing {
+		s.ListAt = now + listEvery
+		s.Listing = true
+		out.Add(op.ReadList{})
+	}
+	if now < s.RoundAt {
+		return
+	}
+	s.RoundAt = now + Every
+	s.exchange(fanOut, out)
+}
+
+// Push tells a few peers at once.
+func (s *State) Push(out *op.List) { s.exchange(pushTo, out) }
+
+// exchange begins exchanges with the next n peers in turn. Each instance
+// starts its turn at another place.
+func (s *State) exchange(n int, out *op.List) {
+	names := slices.Sorted(maps.Keys(s.Members))
+	if len(names) == 0 {
+		return
+	}
+	offset := int(xxhash.Sum64String(string(s.Self.Incarnation)) % uint64(len(names)))
+	for range min(n, len(names)) {
+		m := s.Members[names[(offset+s.Turn)%len(names)]]
+		s.Turn++
+		if m.Busy || m.Address == "" {
+			continue
+		}
+		m.Busy = true
+		out.Add(op.Exchange{Instance: NameOf(m.Incarnation), Address: m.Address})
+	}
+}
+
+func (s *State) list(now clock.Millis, e op.ListRead) {
+	for _, m := range s.Members {
+		m.Listed = false
+	}
+	for _, x := range e.Instances {
+		if x.Instance == NameOf(s.Self.Incarnation) || x.Leaving {
+			continue
+		}
+		m := s.member(now, op.MemberInfo{Incarnation: unit.Incarnation(x.Instance), Address: x.Address, DataCentre: x.DataCentre})
+		m.Listed = true
+	}
+	for name, m := range s.Members {
+		if !m.Listed && !s.live(now, m) {
+			delete(s.Members, name)
+		}
+	}
+}
+
+func (s *State) heard(now clock.Millis, e op.PeerHeard) {
+	name := NameOf(e.Know.From.Incarnation)
+	if name == NameOf(s.Self.Incarnation) {
+		return
+	}
+	m := s.member(now, e.Know.From)
+	if m.Incarnation != e.Know.From.Incarnation {
+		return
+	}
+	if e.Asked {
+		m.Busy = false
+		m.Heard, m.HeardAt = true, max(m.HeardAt, e.AskedAt)
+	}
+	for _, x := range e.Know.Members {
+		if NameOf(x.Incarnation) != NameOf(s.Self.Incarnation) {
+			s.member(now, x)
+		}
+	}
+}
+
+// member merges news of a member. News of an older incarnation changes
+// nothing.
+func (s *State) member(now clock.Millis, x op.MemberInfo) *Member {
+	if s.Members == nil {
+		s.Members = make(map[unit.Instance]*Member)
+	}
+	name := NameOf(x.Incarnation)
+	m := s.Members[name]
+	if m == nil {
+		m = &Member{MemberInfo: x, BeatAt: now}
+		s.Members[name] = m
+		return m
+	}
+	switch {
+	case x.Incarnation > m.Incarnation:
+		busy, listed := m.Busy, m.Listed
+		*m = Member{MemberInfo: x, BeatAt: now, Busy: busy, Listed: listed}
+	case x.Incarnation == m.Incarnation && x.Beat > m.Beat:
+		x.ConfigVersion = max(x.ConfigVersion, m.ConfigVersion)
+		x.Leaving = x.Leaving || m.Leaving
+		m.MemberInfo, m.BeatAt = x, now
+	}
+	return m
+}
+
+func (s *State) live(now clock.Millis, m *Member) bool {
+	return !m.Leaving && now-m.BeatAt < LiveFor
+}
+
+// Live returns the live members in order of name, this one included unless it
+// leaves.
+func (s *State) Live(now clock.Millis) []op.MemberInfo {
+	var out []op.MemberInfo
+	if !s.Self.Leaving {
+		out = append(out, s.Self)
+	}
+	for _, m := range s.Members {
+		if s.live(now, m) {
+			out = append(out, m.MemberInfo)
+		}
+	}
+	slices.SortFunc(out, func(a, b op.MemberInfo) int {
+		return strings.Compare(string(a.Incarnation), string(b.Incarnation))
+	})
+	return out
+}
+
+// Majority tells whether this instance has itself asked a majority of all
+// known members since a time, counting itself. An instance that never read
+// the platform's list does not know of whom it would need a majority.
+func (s *State) Majority(since clock.Millis) bool {
+	if !s.ListRead {
+		return false
+	}
+	n := 1
+	for _, m := range s.Members {
+		if m.Heard && m.HeardAt >= since {
+			n++
+		}
+	}
+	return 2*n > len(s.Members)+1
+}
+
+// Relay tells whether this instance reads the store for its data centre.
+func (s *State) Relay(now clock.Millis) bool {
+	var same []op.MemberInfo
+	for _, m := range s.Live(now) {
+		if m.DataCentre == s.Self.DataCentre {
+			same = append(same, m)
+		}
+	}
+	return s.rank("relay", same) < relays
+}
+
+// Candidate tells whether this instance is among the first n for a scope.
+func (s *State) Candidate(now clock.Millis, scope unit.Scope, n int) bool {
+	return s.rank(string(scope), s.Live(now)) < n
+}
+
+// rank is the number of members that go before this instance by rendezvous
+// hashing, so that the loss of one moves only what it had.
+func (s *State) rank(what string, among []op.MemberInfo) int {
+	mine, n := weightOf(what, s.Self), 0
+	for _, m := range among {
+		if m.Incarnation != s.Self.Incarnation && weightOf(what, m) > mine {
+			n++
+		}
+	}
+	if s.Self.Leaving {
+		return len(among) + relays
+	}
+	return n
+}
+
+func weightOf(what string, m op.MemberInfo) uint64 {
+	return xxhash.Sum64String(what + "/" + string(NameOf(m.Incarnation)))
+}
+
+// Nearest returns up to n other live members for something, by rendezvous
+// hashing.
+func (s *State) Nearest(now clock.Millis, what string, n int) []op.MemberInfo {
+	var out []op.MemberInfo
+	for _, m := range s.Live(now) {
+		if m.Incarnation != s.Self.Incarnation && m.Address != "" {
+			out = append(out, m)
+		}
+	}
+	slices.SortFunc(out, func(a, b op.MemberInfo) int {
+		return cmp.Compare(weightOf(what, b), weightOf(what, a))
+	})
+	return out[:min(n, len(out))]
+}
+
+// Sample returns a bounded, changing choice of members to tell of.
+func (s *State) Sample() []op.MemberInfo {
+	names := slices.Sorted(maps.Keys(s.Members))
+	var out []op.MemberInfo
+	for i := range min(sampleSize, len(names)) {
+		m := s.Members[names[(s.Turn*sampleSize+i)%len(names)]]
+		if m.Beat > 0 {
+			out = append(out, m.MemberInfo)
+		}
+	}
+	return out
+}
+
+// Lagging returns the live members not known to have a configuration.
+func (s *State) Lagging(now clock.Millis, version int64) []unit.Instance {
+	var out []unit.Instance
+	for _, m := range s.Live(now) {
+		if m.ConfigVersion < version && m.Incarnation != s.Self.Incarnation {
+			out = append(out, NameOf(m.Incarnation))
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/serve/dump.go
@@ -0,0 +1,98 @@
+package serve
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gin-gonic/gin"
+
+	"github.com/catkinhead/catkinhead/internal/decide"
+	"github.com/catkinhead/catkinhead/pkg/clock"
+	"github.com/catkinhead/catkinhead/pkg/platform/wire"
+	"github.com/catkinhead/catkinhead/pkg/unit"
+)
+
+// dumped is what a dump shows around the state.
+type dumped struct {
+	Instance   unit.Instance
+	DataCentre unit.DataCentre
+	Now        clock.Millis
+	Ready      bool
+	Fresh      bool
+	State      *decide.State
+}
+
+// dump writes the whole state as JSON. It holds hashes of keys, never keys.
+func (p *Process) dump() ([]byte, error) {
+	var b []byte
+	var err error
+	p.loop.Ask(func(now clock.Millis, s *decide.State) {
+		b, err = json.MarshalIndent(dumped{
+			Instance: p.set.Instance, DataCentre: p.set.DataCentre, Now: now,
+			Ready: s.Ready(now), Fresh: s.Fresh(now), State: s,
+		}, "", "  ")
+	})
+	if err != nil {
+		return nil, fmt.Errorf("encode state: %w", err)
+	}
+	return b, nil
+}
+
+func (p *Process) dumpHTTP(c *gin.Context) {
+	b, err := p.dump()
+	if err != nil {
+		fail(c, http.StatusInternalServerError, "Internal", unit.NotRun, err.Error())
+		return
+	}
+	c.Data(http.StatusOK, "application/json", b)
+}
+
+// newMetrics returns the gauges and counters of the process.
+func (p *Process) newMetrics() *metrics.Set {
+	set := metrics.NewSet()
+	gauge := func(name string, f func(clock.Millis, *decide.State) float64) {
+		set.NewGauge(name, func() float64 {
+			var v float64
+			p.loop.Ask(func(now clock.Millis, s *decide.State) { v = f(now, s) })
+			return v
+		})
+	}
+	gauge("catkinhead_ready", func(now clock.Millis, s *decide.State) float64 { return number(s.Ready(now)) })
+	gauge("catkinhead_keys_fresh", func(now clock.Millis, s *decide.State) float64 { return number(s.Fresh(now)) })
+	gauge("catkinhead_config_version", func(_ clock.Millis, s *decide.State) float64 { return float64(s.Config.State.ConfigVersion) })
+	gauge("catkinhead_store_age_seconds", func(now clock.Millis, s *decide.State) float64 {
+		return s.Config.Age(now).Duration().Seconds()
+	})
+	gauge("catkinhead_members_live", func(now clock.Millis, s *decide.State) float64 { return float64(len(s.Members.Live(now))) })
+	gauge("catkinhead_requests", func(_ clock.Millis, s *decide.State) float64 { return float64(len(s.Admit.Runs)) })
+	gauge("catkinhead_steps", func(_ clock.Millis, s *decide.State) float64 { return float64(len(s.Steps.Steps)) })
+	gauge("catkinhead_admitted_total", func(_ clock.Millis, s *decide.State) float64 { return float64(s.Admit.Counts.Admitted) })
+	gauge("catkinhead_refused_total", func(_ clock.Millis, s *decide.State) float64 { return float64(s.Admit.Counts.Refused) })
+	gauge("catkinhead_retried_total", func(_ clock.Millis, s *decide.State) float64 { return float64(s.Admit.Counts.Retried) })
+	gauge("catkinhead_crashes_total", func(_ clock.Millis, s *decide.State) float64 { return float64(s.Admit.Counts.Crashes) })
+	gauge("catkinhead_leases_held", func(now clock.Millis, s *decide.State) float64 {
+		n := 0
+		for scope := range s.Leases.Leases {
+			if _, _, ok := s.Leases.Holds(scope, now); ok {
+				n++
+			}
+		}
+		return float64(n)
+	})
+	gauge("catkinhead_reports_different_total", func(_ clock.Millis, s *decide.State) float64 { return float64(s.Usage.Different) })
+	if w, ok := p.out.Store.(*wire.Platform); ok {
+		set.NewGauge("catkinhead_store_calls_total", func() float64 { return float64(w.Calls.Load()) })
+	}
+	return set
+}
+
+func (p *Process) count(name string) *metrics.Counter { return p.metrics.GetOrCreateCounter(name) }
+
+func number(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/serve/models.go
@@ -0,0 +1,49 @@
+package serve
+
+import (
+	"maps"
+	"net/http"
+	"slices"
+
+	"github.com/gin-gonic/gin"
+
+	"github.com/catkinhead/catkinhead/internal/decide"
+	"github.com/catkinhead/catkinhead/internal/op"
+	"github.com/catkinhead/catkinhead/pkg/clock"
+	"github.com/catkinhead/catkinhead/pkg/unit"
+)
+
+type model struct {
+	ID      unit.Route `json:"id"`
+	Object  string     `json:"object"`
+	OwnedBy string     `json:"owned_by"`
+}
+
+type modelList struct {
+	Object string  `json:"object"`
+	Data   []model `json:"data"`
+}
+
+// models lists the routes that the caller's workspace may use.
+func (p *Process) models(c *gin.Context) {
+	p.withKey(c)
+	list := modelList{Object: "list", Data: []model{}}
+	var why op.Reason
+	hash := keyFrom(c.Request.Context())
+	p.loop.Ask(func(now clock.Millis, s *decide.State) {
+		var w unit.Workspace
+		if w, why = s.Workspace(now, hash); why != "" {
+			return
+		}
+		for _, name := range slices.Sorted(maps.Keys(s.Config.Index.Routes)) {
+			if s.Config.Index.Routes[name].Allows(w) {
+				list.Data = append(list.Data, model{ID: name, Object: "model", OwnedBy: "catkinhead"})
+			}
+		}
+	})
+	if why != "" {
+		refused(c, op.Refuse{Reason: why, Outcome: unit.NotRun})
+		return
+	}
+	c.JSON(http.StatusOK, list)
+}
--- /dev/null
+++ b/internal/serve/rollout.go
@@ -0,0 +1,210 @@
+package serve
+
+import (
+	"context"
+	"crypto/hmac"
+	"fmt"
+	"regexp"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/catkinhead/catkinhead/internal/decide"
+	"github.com/catkinhead/catkinhead/internal/op"
+	"github.com/catkinhead/catkinhead/pkg/clock"
+	"github.com/catkinhead/catkinhead/pkg/rpc"
+	"github.com/catkinhead/catkinhead/pkg/unit"
+)
+
+const (
+	// maxSamples bounds a step.
+	maxSamples = 65_536
+	// maxWait bounds how long a pull may wait.
+	maxWait = 20 * time.Second
+	// forwardTime bounds a call passed to another instance.
+	forwardTime = 65 * time.Second
+	// operatorTime bounds an operator's change of the store.
+	operatorTime = 8 * time.Second
+)
+
+var stepForm = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$`)
+
+// rolloutServer answers trainers.
+type rolloutServer struct{ *Process }
+
+// OpenStep makes this instance the home of a step.
+func (p rolloutServer) OpenStep(ctx context.Context, r *rpc.OpenStepRequest) (*rpc.OpenStepResponse, error) {
+	if err := checkStep(r); err != nil {
+		return nil, err
+	}
+	w, why := p.workspace(ctx)
+	if why != "" {
+		return nil, rpcRefusal(why, unit.NotRun)
+	}
+	id := unit.StepID{Workspace: w, Name: r.Step}
+	held, err := p.checkHeld(id, r)
+	if err != nil {
+		return nil, err
+	}
+	n, ch := p.waiting.add()
+	p.steps.open(n, r.Samples)
+	p.loop.Post(op.OpenStep{
+		Call: n, Step: id, Route: unit.Route(r.Route), KeyHash: keyFrom(ctx),
+		Samples: shapes(r), Held: held, Staleness: unit.Version(r.Staleness),
+		TrainerAt: unit.Version(r.TrainerVersion), TrainerHas: unit.Epoch(r.Epoch), Wall: p.clock.Wall(),
+	})
+	e, err := await[op.StepOpened](ctx, ch)
+	if err != nil {
+		return nil, err
+	}
+	if e.Reason != "" {
+		return nil, rpcRefusal(e.Reason, unit.NotRun)
+	}
+	return &rpc.OpenStepResponse{Epoch: int64(e.Epoch), Home: string(p.set.Instance)}, nil
+}
+
+func checkStep(r *rpc.OpenStepRequest) error {
+	switch {
+	case !stepForm.MatchString(r.Step):
+		return twirp.InvalidArgumentError("step", "is no name; use 1 to 128 of A-Z a-z 0-9 . _ -")
+	case len(r.Samples) == 0 || len(r.Samples) > maxSamples:
+		return twirp.InvalidArgumentError("samples", fmt.Sprintf("has %d entries; 1 to %d are allowed", len(r.Samples), maxSamples))
+	case r.Staleness < 0:
+		return twirp.InvalidArgumentError("staleness", "is negative")
+	case r.Epoch < 0 || r.TrainerVersion < 0:
+		return twirp.InvalidArgumentError("epoch", "or trainer_version is negative")
+	}
+	for i, s := range r.Samples {
+		if s.GetPrompt() == "" || s.MaxTokens < 1 || s.MaxTokens > int64(mostTokens) {
+			return twirp.InvalidArgumentError("samples", fmt.Sprintf("entry %d needs a prompt and max_tokens from 1 to %d", i, mostTokens))
+		}
+	}
+	return nil
+}
+
+// checkHeld takes only samples whose receipt this fleet gave for this step.
+func (p *Process) checkHeld(id unit.StepID, r *rpc.OpenStepRequest) ([]op.HeldSample, error) {
+	var out []op.HeldSample
+	for _, h := range r.Held {
+		if h.GetIndex() < 0 || int(h.GetIndex()) >= len(r.Samples) {
+			return nil, twirp.InvalidArgumentError("held", fmt.Sprintf("index %d is outside of the step", h.GetIndex()))
+		}
+		if !hmac.Equal(h.Receipt, p.receipt(id, h.Index, unit.Tokens(h.Tokens))) {
+			return nil, rpcRefusal(op.BadReceipt, unit.NotRun)
+		}
+		out = append(out, op.HeldSample{Index: h.Index, Tokens: unit.Tokens(h.Tokens)})
+	}
+	return out, nil
+}
+
+func shapes(r *rpc.OpenStepRequest) []op.SampleShape {
+	out := make([]op.SampleShape, len(r.Samples))
+	for i, s := range r.Samples {
+		out[i] = op.SampleShape{
+			Group: s.Group, Cost: unit.Tokens(s.MaxTokens), Prefix: prefixOf(s.Prompt),
+			Fingerprint: fingerprint(r.Route, s.Prompt),
+		}
+	}
+	return out
+}
+
+// PullSamples acknowledges samples and waits for further ones.
+func (p rolloutServer) PullSamples(ctx context.Context, r *rpc.PullSamplesRequest) (*rpc.PullSamplesResponse, error) {
+	w, why := p.workspace(ctx)
+	if why != "" {
+		return nil, rpcRefusal(why, unit.NotRun)
+	}
+	id := unit.StepID{Workspace: w, Name: r.Step}
+	wait := min(max(time.Duration(r.Wait)*time.Millisecond, 0), maxWait)
+	n, ch := p.waiting.add()
+	p.loop.Post(op.PullSamples{
+		Call: n, Step: id, Epoch: unit.Epoch(r.Epoch), KeyHash: keyFrom(ctx), Acknowledged: r.Acknowledged,
+		Until: p.clock.Now() + clock.Of(wait), TrainerAt: unit.Version(r.TrainerVersion),
+		Max: int(r.Max), Wall: p.clock.Wall(),
+	})
+	e, err := await[op.Deliver](ctx, ch)
+	if err != nil {
+		return nil, err
+	}
+	if e.Reason != "" {
+		return nil, rpcRefusal(e.Reason, unit.NotRun)
+	}
+	p.steps.forget(id, e.Epoch, r.Acknowledged)
+	return &rpc.PullSamplesResponse{Epoch: int64(e.Epoch), Done: e.Done, Samples: p.steps.samples(e, p.receipt)}, nil
+}
+
+// CloseStep ends a step.
+func (p rolloutServer) CloseStep(ctx context.Context, r *rpc.CloseStepRequest) (*rpc.CloseStepResponse, error) {
+	w, why := p.workspace(ctx)
+	if why != "" {
+		return nil, rpcRefusal(why, unit.NotRun)
+	}
+	n, ch := p.waiting.add()
+	p.loop.Post(op.CloseStep{
+		Call: n, Step: unit.StepID{Workspace: w, Name: r.Step}, Epoch: unit.Epoch(r.Epoch),
+		KeyHash: keyFrom(ctx), Acknowledged: r.Acknowledged, Wall: p.clock.Wall(),
+	})
+	e, err := await[op.StepEnded](ctx, ch)
+	if err != nil {
+		return nil, err
+	}
+	if e.Reason != "" {
+		return nil, rpcRefusal(e.Reason, unit.NotRun)
+	}
+	return &rpc.CloseStepResponse{Recorded: e.Recorded}, nil
+}
+
+// NewTicket issues a ticket for the caller's workspace.
+func (p rolloutServer) NewTicket(ctx context.Context, _ *rpc.NewTicketRequest) (*rpc.NewTicketResponse, error) {
+	w, why := p.workspace(ctx)
+	if why != "" {
+		return nil, rpcRefusal(why, unit.NotRun)
+	}
+	t, err := p.tickets.Issue(w)
+	if err != nil {
+		return nil, twirp.NewError(twirp.ResourceExhausted, err.Error())
+	}
+	return &rpc.NewTicketResponse{Ticket: t}, nil
+}
+
+// workspace is the one of the key that came with the call.
+func (p *Process) workspace(ctx context.Context) (unit.Workspace, op.Reason) {
+	var w unit.Workspace
+	why := op.Draining
+	p.loop.Ask(func(now clock.Millis, s *decide.State) { w, why = s.Workspace(now, keyFrom(ctx)) })
+	return w, why
+}
+
+// await waits for the effect that answers a call.
+func await[E op.Effect](ctx context.Context, ch <-chan op.Effect) (E, error) {
+	var none E
+	select {
+	case e := <-ch:
+		x, ok := e.(E)
+		if !ok {
+			return none, twirp.InternalError(fmt.Sprintf("answered by %T", e))
+		}
+		return x, nil
+	case <-ctx.Done():
+		return none, twirp.NewError(twirp.Canceled, "the caller left")
+	}
+}
+
+// rpcRefusal turns a reason into a typed error. Its metadata has the reason
+// and the outcome.
+func rpcRefusal(why op.Reason, o unit.Outcome) error {
+	code := twirp.Unavailable
+	switch why {
+	case op.NoKey, op.BadKey, op.Withdrawn:
+		code = twirp.Unauthenticated
+	case op.NotAllowed:
+		code = twirp.PermissionDenied
+	case op.NoRoute, op.NoStep:
+		code = twirp.NotFound
+	case op.WrongKind, op.BadReceipt:
+		code = twirp.InvalidArgument
+	case op.StaleEpoch, op.StepClosed, op.OldVersion:
+		code = twirp.FailedPrecondition
+	}
+	return twirp.NewError(code, meaning[why]).WithMeta("reason", string(why)).WithMeta("outcome", o.String())
+}
--- /dev/null
+++ b/internal/setting/setting.go
@@ -0,0 +1,134 @@
+// Package setting reads the settings of a process from flags and environment
+// variables and checks them all before anything starts.
+//
+// A flag --store-timeout is the variable CATKINHEAD_STORE_TIMEOUT; the flag
+// goes first. Secrets are read from variables only, and no message shows one.
+package setting
+
+import (
+	"fmt"
+	"net"
+	"net/url"
+	"os"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/caarlos0/env/v11"
+	"github.com/sirupsen/logrus"
+
+	"github.com/catkinhead/catkinhead/pkg/unit"
+)
+
+// Settings of `catkinhead serve`.
+type Settings struct {
+	// Instance is the unique name of this process.
+	Instance unit.Instance `env:"INSTANCE"`
+	// DataCentre it runs in.
+	DataCentre unit.DataCentre `env:"DATA_CENTRE"`
+	// Listen is the host:port for callers, operators and peers.
+	Listen string `env:"LISTEN" envDefault:"127.0.0.1:8080"`
+	// Advertise is the host:port that peers use; empty means Listen.
+	Advertise string `env:"ADVERTISE"`
+	// Platform is the URL of the platform.
+	Platform string `env:"PLATFORM"`
+	// FleetSecret is shared by all instances.
+	FleetSecret string `env:"FLEET_SECRET"`
+	// OperatorKeyHash is the SHA-256 of the operators' key, in hexadecimal.
+	OperatorKeyHash string `env:"OPERATOR_KEY_HASH"`
+	// Window is the length of a usage window.
+	Window time.Duration `env:"WINDOW" envDefault:"60s"`
+	// StoreTimeout bounds a call to the platform.
+	StoreTimeout time.Duration `env:"STORE_TIMEOUT" envDefault:"1s"`
+	// DrainLag is how long a stopping process still takes new requests, since
+	// the balancer learns late.
+	DrainLag time.Duration `env:"DRAIN_LAG" envDefault:"3s"`
+	// DrainDeadline bounds a planned stop.
+	DrainDeadline time.Duration `env:"DRAIN_DEADLINE" envDefault:"60s"`
+	// Data is a folder for the last configuration; empty keeps nothing.
+	Data string `env:"DATA"`
+	// Record is a file for the trace of events; empty records nothing.
+	Record string `env:"RECORD"`
+	// LogLevel is debug, info, warning or error.
+	LogLevel string `env:"LOG_LEVEL" envDefault:"info"`
+	// OrderPause delays each order between its decision and its sending. It
+	// is for tests of lapsed leases.
+	OrderPause time.Duration `env:"ORDER_PAUSE"`
+}
+
+// Prefix starts every environment variable.
+const Prefix = "CATKINHEAD_"
+
+// Faults are all settings that are wrong.
+type Faults []string
+
+// Error lists the faults, a line each.
+func (f Faults) Error() string { return strings.Join(f, "\n") }
+
+// FromEnvironment reads the variables of the process.
+func FromEnvironment() (Settings, error) {
+	var s Settings
+	err := env.ParseWithOptions(&s, env.Options{Prefix: Prefix, Environment: env.ToMap(os.Environ())})
+	if err != nil {
+		return s, fmt.Errorf("read environment: %w", err)
+	}
+	return s, nil
+}
+
+var (
+	nameForm = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]{0,62}$`)
+	hashForm = regexp.MustCompile(`^[0-9a-fA-F]{64}$`)
+)
+
+// Check returns Faults if anything is not allowed.
+func (s *Settings) Check() error {
+	var f Faults
+	add := func(name, value, allowed string) {
+		f = append(f, fmt.Sprintf("--%s (%s%s) is %q; %s", name, Prefix, variable(name), value, allowed))
+	}
+	const nameRule = "use 1 to 63 of a-z 0-9 . -, starting with a letter or digit"
+	if !nameForm.MatchString(string(s.Instance)) {
+		add("instance", string(s.Instance), nameRule)
+	}
+	if !nameForm.MatchString(string(s.DataCentre)) {
+		add("data-centre", string(s.DataCentre), nameRule)
+	}
+	if _, _, err := net.SplitHostPort(s.Listen); err != nil {
+		add("listen", s.Listen, "host:port is allowed")
+	}
+	if _, _, err := net.SplitHostPort(s.Advertise); s.Advertise != "" && err != nil {
+		add("advertise", s.Advertise, "host:port or nothing is allowed")
+	}
+	if u, err := url.Parse(s.Platform); err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
+		add("platform", s.Platform, "an http or https URL is allowed")
+	}
+	if len(s.FleetSecret) < 16 {
+		f = append(f, Prefix+"FLEET_SECRET has "+fmt.Sprint(len(s.FleetSecret))+" characters; 16 or more are allowed")
+	}
+	if !hashForm.MatchString(s.OperatorKeyHash) {
+		f = append(f, Prefix+"OPERATOR_KEY_HASH is no SHA-256; 64 hexadecimal digits are allowed (see: catkinhead key hash)")
+	}
+	durations := map[string]struct{ v, low, high time.Duration }{
+		"window":         {s.Window, time.Second, 24 * time.Hour},
+		"store-timeout":  {s.StoreTimeout, 50 * time.Millisecond, 5 * time.Second},
+		"drain-lag":      {s.DrainLag, 0, 5 * time.Minute},
+		"drain-deadline": {s.DrainDeadline, time.Second, time.Hour},
+		"order-pause":    {s.OrderPause, 0, time.Minute},
+	}
+	for _, name := range []string{"window", "store-timeout", "drain-lag", "drain-deadline", "order-pause"} {
+		if d := durations[name]; d.v < d.low || d.v > d.high {
+			add(name, d.v.String(), fmt.Sprintf("%v to %v is allowed", d.low, d.high))
+		}
+	}
+	if _, err := logrus.ParseLevel(s.LogLevel); err != nil {
+		add("log-level", s.LogLevel, "debug, info, warning or error is allowed")
+	}
+	if len(f) > 0 {
+		return f
+	}
+	return nil
+}
+
+func variable(flag string) string {
+	return strings.ToUpper(strings.ReplaceAll(flag, "-", "_"))
+}
--- /dev/null
+++ b/internal/step/bill.go
@@ -0,0 +1,43 @@
+package step
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/catkinhead/catkinhead/internal/op"
+	"github.com/catkinhead/catkinhead/internal/usage"
+	"github.com/catkinhead/catkinhead/pkg/unit"
+)
+
+// bill puts an acknowledged sample on the record, once.
+func (st *Step) bill(i int32, w unit.Window) {
+	r := &st.Record
+	for len(r.Billed) <= int(i)/8 {
+		r.Billed = append(r.Billed, 0)
+	}
+	bit := byte(1) << (i % 8)
+	if r.Billed[i/8]&bit != 0 {
+		return
+	}
+	r.Billed[i/8] |= bit
+	st.Dirty = true
+	usage.Add(&r.Usage, st.ID.Workspace, st.Samples[i].Result.Tokens, w)
+}
+
+// billAll merges all that was acknowledged here into a record read anew.
+func (st *Step) billAll(w unit.Window) {
+	st.Record.Usage.Source = "step:" + st.ID.String()
+	for i := range st.Samples {
+		if st.Samples[i].Status == Acked {
+			st.bill(int32(i), w)
+		}
+	}
+}
+
+func cloneRecord(r op.StepRecord) op.StepRecord {
+	r.Billed = slices.Clone(r.Billed)
+	r.Usage = usage.Clone(r.Usage)
+	return r
+}
+
+func compareIDs(a, b unit.StepID) int { return cmp.Compare(a.String(), b.String()) }
--- /dev/null
+++ b/pkg/platform/wire/count.go
@@ -0,0 +1,70 @@
+package wire
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+)
+
+// counted is a connection that counts the bytes handed to the kernel.
+type counted struct {
+	net.Conn
+	written atomic.Int64
+}
+
+// Write passes b on and counts what was taken.
+func (c *counted) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.written.Add(int64(n))
+	return n, err
+}
+
+// written tells whether a request put a byte on its connection. Only a request
+// that did not is certain not to have run.
+type written struct {
+	conn   *counted
+	before int64
+	opaque bool
+}
+
+// trace returns ctx with a hook that notes the connection used.
+func (w *written) trace(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			c, ok := info.Conn.(*counted)
+			if !ok {
+				w.opaque = true
+				return
+			}
+			w.conn, w.before = c, c.written.Load()
+		},
+	})
+}
+
+func (w *written) any() bool {
+	if w.opaque {
+		return true
+	}
+	return w.conn != nil && w.conn.written.Load() > w.before
+}
+
+// countedClient returns a client whose connections count what they write.
+func countedClient(idlePerHost int, keepAlive bool) *http.Client {
+	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := (&net.Dialer{Timeout: 2 * time.Second}).DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &counted{Conn: conn}, nil
+	}
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         dial,
+		MaxIdleConnsPerHost: idlePerHost,
+		MaxIdleConns:        2048,
+		IdleConnTimeout:     30 * time.Second,
+		DisableKeepAlives:   !keepAlive,
+	}}
+}
