admit: ignore the late end of a cancelled attempt, and hold suspects off

Cause: a cancelled attempt was put back in the queue with its old run id, so its late end matched and put it back a second time. Each such request took two places on targets and gave one back, until no target had room: the scenario 'versions' still ran after 40 s, its dump showing 10 in flight a target and none running. Change: an end counts only while the run has a target.

Cause: samples of one group share their content, so two targets reclaimed together made two crashes of it, and innocent samples were refused (centre_reclaimed, 'failed:CrashSuspect'). Change: a crash after the first counts only for a run that began as a suspect, and a suspect waits 1.5 s. After: 200 samples of 200. A poison sent as many copies at once can still take more than two targets before the first crash is seen.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -107,7 +107,7 @@
 // stands, and decides on another attempt or a refusal otherwise.
 func (s *State) Finish(now clock.Millis, e op.Finished, out *op.List) *Run {
 	run := s.Runs[e.Request]
-	if run == nil || run.Run != e.Run {
+	if run == nil || run.Target == "" || run.Run != e.Run {
 		return nil
 	}
 	t := s.detach(run)
--- a/internal/admit/pick.go
+++ b/internal/admit/pick.go
@@ -57,7 +57,7 @@
 // share of the load, or else the least loaded.
 func (s *State) pick(now clock.Millis, p *Pool, run *Run) *Target {
 	n := len(p.Targets)
-	if n == 0 {
+	if n == 0 || s.heldOff(now, run) {
 		return nil
 	}
 	if run.Prefix != 0 {
--- a/internal/admit/suspect.go
+++ b/internal/admit/suspect.go
@@ -16,9 +16,12 @@
 	guiltyAt = 2
 	// maxSuspects bounds what peers are told.
 	maxSuspects = 256
+	// holdOff is how long a suspect waits after a crash, so that targets that
+	// are reclaimed together are all seen to be gone, and peers have heard.
+	holdOff clock.Millis = 1500
 	// sameCrash is the time within which broken runs on one target are from
 	// one crash.
-	sameCrash clock.Millis = 2 * clock.Second
+	sameCrash clock.Millis = clock.Second
 )
 
 // Suspect is a content that was in flight when a target crashed.
@@ -31,7 +34,9 @@
 	Cleared bool
 }
 
-// crashed counts a crash against a run's content.
+// crashed counts a crash against a run's content. Only the first crash counts
+// for a run that was no suspect when it began: copies of one content that run
+// on targets that are reclaimed together prove nothing.
 func (s *State) crashed(now clock.Millis, run *Run, target unit.Target) {
 	s.Counts.Crashes++
 	if run.Fingerprint == 0 {
@@ -42,7 +47,7 @@
 		x = &Suspect{}
 		s.Suspects[run.Fingerprint] = x
 	}
-	if x.Target == target && now-x.At < sameCrash {
+	if x.Target == target && now-x.At < sameCrash || x.Crashes > 0 && !run.Suspect {
 		return
 	}
 	x.Crashes++
@@ -68,6 +73,12 @@
 	return x != nil && !x.Cleared
 }
 
+// heldOff tells whether a run must wait for the crash it was in to settle.
+func (s *State) heldOff(now clock.Millis, run *Run) bool {
+	x := s.Suspects[run.Fingerprint]
+	return run.Suspect && x != nil && now-x.At < holdOff
+}
+
 func (s *State) guilty(now clock.Millis, f unit.Fingerprint) bool {
 	x := s.suspect(now, f)
 	return x != nil && x.Crashes >= guiltyAt
