--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -186,6 +186,12 @@
 	return !m.Leaving && now-m.BeatAt < LiveFor
 }
 
+// IsLive tells whether an incarnation of another instance lives.
+func (s *State) IsLive(now clock.Millis, i unit.Incarnation) bool {
+	m := s.Members[NameOf(i)]
+	return m != nil && m.Incarnation == i && now-m.BeatAt < LiveFor
+}
+
 // Live returns the live members in order of name, this one included unless it
 // leaves.
 func (s *State) Live(now clock.Millis) []op.MemberInfo {
--- a/internal/serve/plain.go
+++ b/internal/serve/plain.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"time"
 
 	"github.com/gin-gonic/gin"
 
@@ -22,6 +23,9 @@
 // ticketHeader carries the ticket of a request that must run at most once.
 const ticketHeader = "Idempotency-Key"
 
+// liveCheck is the time between looks whether a peer still lives.
+const liveCheck = 250 * time.Millisecond
+
 // plainRequest is a call to a plain service, as it came in.
 type plainRequest struct {
 	route   unit.Route
@@ -107,6 +111,7 @@
 	}
 	ctx, cancel := p.peers.context(ctx, forwardTime)
 	defer cancel()
+	p.tasks.Go(func(context.Context) { p.whileLive(ctx, cancel, to) })
 	res, err := p.peers.at(address).Forward(ctx, &rpc.ForwardRequest{
 		Ticket: t, Workspace: string(w), Route: string(r.route), Path: r.call.Path,
 		ContentType: r.call.ContentType, Body: r.call.Body, KeyHash: r.keyHash,
@@ -120,6 +125,25 @@
 	}
 }
 
+// whileLive ends a call to a peer once that incarnation shows no life.
+func (p *Process) whileLive(ctx context.Context, end func(), peer unit.Incarnation) {
+	tick := time.NewTicker(liveCheck)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		live := false
+		p.loop.Ask(func(now clock.Millis, s *decide.State) { live = s.Members.IsLive(now, peer) })
+		if !live {
+			end()
+			return
+		}
+	}
+}
+
 // runCall runs a call once and waits for its end.
 func (p *Process) runCall(ctx context.Context, r plainRequest) ticket.Result {
 	x := &call{id: p.requestID(), plain: &r.call, ends: make(chan ending, 1)}
--- a/internal/serve/rollout.go
+++ b/internal/serve/rollout.go
@@ -34,13 +34,13 @@
 
 // OpenStep makes this instance the home of a step.
 func (p rolloutServer) OpenStep(ctx context.Context, r *rpc.OpenStepRequest) (*rpc.OpenStepResponse, error) {
-	if err := checkStep(r); err != nil {
-		return nil, err
-	}
 	w, why := p.workspace(ctx)
 	if why != "" {
 		return nil, rpcRefusal(why, unit.NotRun)
 	}
+	if err := checkStep(r); err != nil {
+		return nil, err
+	}
 	id := unit.StepID{Workspace: w, Name: r.Step}
 	held, err := p.checkHeld(id, r)
 	if err != nil {
--- a/pkg/unit/unit.go
+++ b/pkg/unit/unit.go
@@ -3,7 +3,10 @@
 // count. It has no behaviour beyond small conversions.
 package unit
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+)
 
 type (
 	// Instance is the name of one catkinhead process. It is unique in a fleet
@@ -56,6 +59,24 @@
 // String returns "workspace/name".
 func (s StepID) String() string { return fmt.Sprintf("%s/%s", s.Workspace, s.Name) }
 
+// MarshalText writes "workspace/name", so that a StepID can be a key in JSON.
+func (s StepID) MarshalText() ([]byte, error) {
+	if s == (StepID{}) {
+		return nil, nil
+	}
+	return []byte(s.String()), nil
+}
+
+// UnmarshalText reads what MarshalText wrote.
+func (s *StepID) UnmarshalText(b []byte) error {
+	w, name, ok := strings.Cut(string(b), "/")
+	if !ok && len(b) > 0 {
+		return fmt.Errorf("step id %q has no workspace", b)
+	}
+	s.Workspace, s.Name = Workspace(w), name
+	return nil
+}
+
 // Outcome says what became of a request at its target.
 type Outcome int
 
