step: bill what the trainer holds again after a lost race for the record

Cause: a claim that met another revision is made again on the newer record, but what the trainer holds was put on the bill only while it was still new to this home, so the second claim wrote a record without it. Found by going through all orders of two homes, a store and a trainer: '10 tokens billed of 20 after [open 0 fail 0 finish 0 pull 0 open 1 apply 1]'. Ruled out: the merge of a superseded home (its record had the other sample). Change: each claim merges all that is held; merging is idempotent.

--- a/internal/step/home.go
+++ b/internal/step/home.go
@@ -26,7 +26,7 @@
 		s.drop(old, out)
 	}
 	st := newStep(e, key, route)
-	st.calledAt = now
+	st.CalledAt = now
 	if s.Steps == nil {
 		s.Steps = make(map[unit.StepID]*Step)
 	}
@@ -39,7 +39,7 @@
 	st := &Step{
 		ID: e.Step, Phase: Claiming, Route: e.Route, Pool: route.Pool, KeyID: key,
 		Staleness: e.Staleness, TrainerAt: e.TrainerAt, Samples: make([]Sample, len(e.Samples)),
-		openCall: e.Call, opened: e,
+		OpenCall: e.Call, Opened: e,
 	}
 	st.Queue = make([]int32, len(e.Samples))
 	for i, shape := range e.Samples {
@@ -49,7 +49,7 @@
 	slices.SortStableFunc(st.Queue, func(a, b int32) int {
 		return cmp.Compare(st.Samples[b].Cost, st.Samples[a].Cost)
 	})
-	st.opened.Samples = nil
+	st.Opened.Samples = nil
 	return st
 }
 
@@ -82,11 +82,11 @@
 // claim writes the record with the next epoch.
 func (s *State) claim(now clock.Millis, st *Step, r op.StepRecord, v View, out *op.List) {
 	if r.Closed {
-		out.Add(op.StepOpened{Call: st.openCall, Step: st.ID, Reason: op.StepClosed})
+		out.Add(op.StepOpened{Call: st.OpenCall, Step: st.ID, Reason: op.StepClosed})
 		s.drop(st, out)
 		return
 	}
-	st.Epoch = max(r.Epoch, st.opened.TrainerHas) + 1
+	st.Epoch = max(r.Epoch, st.Opened.TrainerHas) + 1
 	st.Record = r
 	st.adopt(s.Self, v)
 	s.save(now, st, v, out)
@@ -95,8 +95,7 @@
 // adopt makes the record ours, with what the trainer holds on the bill.
 func (st *Step) adopt(self unit.Incarnation, v View) {
 	st.Record.Home, st.Record.Epoch, st.Record.Count = self, st.Epoch, len(st.Samples)
-	st.Record.Usage.Source = "step:" + st.ID.String()
-	for _, h := range st.opened.Held {
+	for _, h := range st.Opened.Held {
 		if h.Index < 0 || int(h.Index) >= len(st.Samples) {
 			continue
 		}
@@ -107,8 +106,8 @@
 		x.Status = Acked
 		x.Result = op.SampleResult{Index: h.Index, Tokens: h.Tokens}
 		st.Acked++
-		st.bill(h.Index, v.Window)
 	}
+	st.billAll(v.Window)
 	st.Queue = slices.DeleteFunc(st.Queue, func(i int32) bool {
 		return st.Samples[i].Status != Waiting
 	})
@@ -134,7 +133,7 @@
 		s.recorded(now, st, v, out)
 	case op.Conflict:
 		st.Known, st.Dirty = false, true
-		st.tries++
+		st.Tries++
 		s.save(now, st, v, out)
 	default:
 		st.Known, st.Dirty = false, true
@@ -159,7 +158,7 @@
 // serve opens the step.
 func (s *State) serve(now clock.Millis, st *Step, v View, out *op.List) {
 	st.Phase = Open
-	out.Add(op.StepOpened{Call: st.openCall, Step: st.ID, Epoch: st.Epoch})
+	out.Add(op.StepOpened{Call: st.OpenCall, Step: st.ID, Epoch: st.Epoch})
 	if s.Draining {
 		s.handOver(now, st, v, out)
 		return
@@ -174,12 +173,12 @@
 	st.SaveAt = now + saveEvery
 	st.Dirty = true
 	if st.Phase == Claiming {
-		st.tries++
-		if st.tries < claimTries && st.Known {
+		st.Tries++
+		if st.Tries < claimTries && st.Known {
 			s.save(now, st, v, out)
 			return
 		}
-		st.Epoch = max(st.Epoch, st.opened.TrainerHas+1)
+		st.Epoch = max(st.Epoch, st.Opened.TrainerHas+1)
 		st.adopt(s.Self, v)
 		s.serve(now, st, v, out)
 	}
@@ -202,7 +201,7 @@
 	s.release(st, op.StepClosed, out)
 	st.Phase = Closing
 	st.Record.Closed = true
-	st.endCall = e.Call
+	st.EndCall = e.Call
 	st.Dirty = true
 	if !st.Saving {
 		s.save(now, st, v, out)
@@ -210,9 +209,9 @@
 }
 
 func (s *State) endCalls(st *Step, recorded bool, out *op.List) {
-	if st.endCall != 0 {
-		out.Add(op.StepEnded{Call: st.endCall, Step: st.ID, Recorded: recorded})
-		st.endCall = 0
+	if st.EndCall != 0 {
+		out.Add(op.StepEnded{Call: st.EndCall, Step: st.ID, Recorded: recorded})
+		st.EndCall = 0
 	}
 }
 
@@ -227,12 +226,12 @@
 // release answers the waiting pulls with a reason.
 func (s *State) release(st *Step, why op.Reason, out *op.List) {
 	if st.Phase == Claiming {
-		out.Add(op.StepOpened{Call: st.openCall, Step: st.ID, Reason: why})
+		out.Add(op.StepOpened{Call: st.OpenCall, Step: st.ID, Reason: why})
 	}
-	for _, p := range st.pulls {
-		out.Add(op.Deliver{Call: p.call, Step: st.ID, Epoch: st.Epoch, Reason: why})
+	for _, p := range st.Pulls {
+		out.Add(op.Deliver{Call: p.Call, Step: st.ID, Epoch: st.Epoch, Reason: why})
 	}
-	st.pulls = nil
+	st.Pulls = nil
 }
 
 // drain hands every step over: trainers open them elsewhere with what they
--- a/internal/step/step.go
+++ b/internal/step/step.go
@@ -78,15 +78,18 @@
 	Revision unit.Revision
 	Known    bool
 	// Dirty is set while the store lacks something of ours.
-	Dirty    bool
-	Saving   bool
-	SaveAt   clock.Millis
-	tries    int
-	openCall int64
-	endCall  int64
-	pulls    []pull
-	calledAt clock.Millis
-	opened   op.OpenStep
+	Dirty  bool
+	Saving bool
+	SaveAt clock.Millis
+	// Tries counts the tries to become home.
+	Tries int
+	// OpenCall and EndCall are the calls to answer once the step is open or
+	// closed; 0 is none.
+	OpenCall, EndCall int64
+	Pulls             []Pull
+	CalledAt          clock.Millis
+	// Opened is the call that made this instance home, without its samples.
+	Opened op.OpenStep
 }
 
 // Status is where a sample stands.
@@ -110,11 +113,11 @@
 	RetryAt clock.Millis
 }
 
-// pull is a waiting call for samples.
-type pull struct {
-	call  int64
-	until clock.Millis
-	max   int
+// Pull is a waiting call for samples.
+type Pull struct {
+	Call  int64
+	Until clock.Millis
+	Max   int
 }
 
 // View is what a step needs to know of the rest.
@@ -156,7 +159,7 @@
 	if st.Dirty && !st.Saving && now >= st.SaveAt {
 		s.save(now, st, v, out)
 	}
-	if st.Phase == Open && now-st.calledAt >= idleFor && !st.Dirty {
+	if st.Phase == Open && now-st.CalledAt >= idleFor && !st.Dirty {
 		s.drop(st, out)
 	}
 }
@@ -168,7 +171,7 @@
 		out.Add(op.Deliver{Call: e.Call, Step: e.Step, Reason: why})
 		return
 	}
-	st.calledAt = now
+	st.CalledAt = now
 	st.TrainerAt = max(st.TrainerAt, e.TrainerAt)
 	st.acknowledge(e.Acknowledged, v)
 	st.Paused = false
@@ -176,7 +179,7 @@
 	if n <= 0 || n > defaultMax {
 		n = defaultMax
 	}
-	st.pulls = append(st.pulls, pull{call: e.Call, until: e.Until, max: n})
+	st.Pulls = append(st.Pulls, Pull{Call: e.Call, Until: e.Until, Max: n})
 	s.answerPulls(now, st, v, out)
 	s.submit(st, out)
 }
@@ -219,22 +222,22 @@
 
 // answerPulls answers the calls that can or must be answered.
 func (s *State) answerPulls(now clock.Millis, st *Step, v View, out *op.List) {
-	if len(st.pulls) == 0 {
+	if len(st.Pulls) == 0 {
 		return
 	}
 	st.discardOld(v)
-	var rest []pull
-	for _, p := range st.pulls {
+	var rest []Pull
+	for _, p := range st.Pulls {
 		done := st.Acked == len(st.Samples)
-		if len(st.Finished) == 0 && !done && now < p.until {
+		if len(st.Finished) == 0 && !done && now < p.Until {
 			rest = append(rest, p)
 			continue
 		}
 		out.Add(op.Deliver{
-			Call: p.call, Step: st.ID, Epoch: st.Epoch, Done: done, Samples: st.ready(p.max),
+			Call: p.Call, Step: st.ID, Epoch: st.Epoch, Done: done, Samples: st.ready(p.Max),
 		})
 	}
-	st.pulls = rest
+	st.Pulls = rest
 }
 
 func (st *Step) ready(limit int) []op.SampleResult {
