serve: keep questions from changing the state, and refuse a negative length

Cause: asking whether the process is ready noted that its state was current, outside of the reducer, so a recorded trace could not be replayed: 'line 10, effect 0: stated ReadStep, got StepOpened NoConfig' (TestDumpAndReplay). The list of suspects told to a peer dropped old ones in the same way. Both now change in the reducer only. max_tokens of -1 was taken as the default (TestBadInput/negative).

--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -162,6 +162,8 @@
 	for now := clock.Millis(0); now < 3*suspectFor; now += 10 * clock.Second {
 		b.HeardSuspects(now, a.TellSuspects(now))
 		a.HeardSuspects(now, b.TellSuspects(now))
+		a.ForgetSuspects(now)
+		b.ForgetSuspects(now)
 	}
 	if len(a.Suspects)+len(b.Suspects) > 0 {
 		t.Fatal("peers keep a suspicion alive between them")
--- a/internal/admit/suspect.go
+++ b/internal/admit/suspect.go
@@ -105,19 +105,19 @@
 	return news
 }
 
-// TellSuspects returns the counts that peers should hear, and forgets old
-// ones.
+// TellSuspects returns the counts that peers should hear.
 func (s *State) TellSuspects(now clock.Millis) []op.Suspect {
 	var out []op.Suspect
 	for _, f := range slices.Sorted(maps.Keys(s.Suspects)) {
 		x := s.Suspects[f]
-		if now-x.At >= suspectFor {
-			delete(s.Suspects, f)
-			continue
-		}
-		if len(out) < maxSuspects {
+		if now-x.At < suspectFor && len(out) < maxSuspects {
 			out = append(out, op.Suspect{Fingerprint: f, Crashes: x.Crashes, Age: now - x.At})
 		}
 	}
 	return out
 }
+
+// ForgetSuspects drops those whose time is over.
+func (s *State) ForgetSuspects(now clock.Millis) {
+	maps.DeleteFunc(s.Suspects, func(_ unit.Fingerprint, x *Suspect) bool { return now-x.At >= suspectFor })
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -193,14 +193,18 @@
 // Fresh tells whether keys may be acted on. Majority tells whether a majority
 // of the fleet was asked within Bound.
 func (s *State) Fresh(now clock.Millis, majority bool) bool {
-	if s.Index == nil {
-		return false
-	}
-	fresh := majority || s.Anchored && now-s.AnchorAt < Bound
-	if fresh && s.Revision >= s.Heard {
+	return s.Started && s.recent(now, majority)
+}
+
+// Settle sets Started once what is in force was shown to be current.
+func (s *State) Settle(now clock.Millis, majority bool) {
+	if s.recent(now, majority) && s.Revision >= s.Heard {
 		s.Started = true
 	}
-	return fresh && s.Started
+}
+
+func (s *State) recent(now clock.Millis, majority bool) bool {
+	return s.Index != nil && (majority || s.Anchored && now-s.AnchorAt < Bound)
 }
 
 // Key finds a key by hash and refuses those that may not be used.
--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -121,6 +121,7 @@
 	s.Admit.Peers = max(len(s.Members.Live(now)), 1)
 	s.Admit.Poll(now, out)
 	s.Admit.Expire(now, out)
+	s.Admit.ForgetSuspects(now)
 	s.Steps.Reduce(now, e, s.stepView(now), out)
 	s.Usage.Reduce(now, e, s.reporter(now), out)
 	s.Fleet.Reduce(now, e, s.fleetView(now), out)
@@ -130,6 +131,7 @@
 // checkFresh breaks off everything that rests on keys once they may no longer
 // be acted on.
 func (s *State) checkFresh(now clock.Millis, out *op.List) {
+	s.Config.Settle(now, s.majority(now))
 	fresh := s.Fresh(now)
 	if s.WasFresh && !fresh {
 		out.Add(op.Note{Level: "warning", Message: "keys are not fresh; keyed requests are refused"})
@@ -141,7 +143,12 @@
 
 // Fresh tells whether keys may be acted on now.
 func (s *State) Fresh(now clock.Millis) bool {
-	return s.Config.Fresh(now, s.Members.Majority(now-config.Bound))
+	return s.Config.Fresh(now, s.majority(now))
+}
+
+// majority tells whether a majority of the fleet was asked lately.
+func (s *State) majority(now clock.Millis) bool {
+	return s.Members.Majority(now - config.Bound)
 }
 
 // Ready tells whether callers should be sent here.
--- a/internal/decide/request.go
+++ b/internal/decide/request.go
@@ -114,6 +114,7 @@
 func (s *State) configured(now clock.Millis, ev op.Event, out *op.List) {
 	c := s.Config.Reduce(now, ev, s.Members.Relay(now), out)
 	s.changed(now, c, out)
+	s.checkFresh(now, out)
 }
 
 func (s *State) changed(now clock.Millis, c config.Change, out *op.List) {
--- a/internal/serve/completion.go
+++ b/internal/serve/completion.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -99,8 +100,8 @@
 
 func (p *Process) complete(c *gin.Context, f form) {
 	p.withKey(c)
-	var r chatRequest
-	if err := decodeBody(c, &r); err != nil {
+	r, err := decodeChat(http.MaxBytesReader(c.Writer, c.Request.Body, maxCallBody))
+	if err != nil {
 		fail(c, http.StatusBadRequest, "BadRequest", unit.NotRun, err.Error())
 		return
 	}
@@ -139,21 +140,25 @@
 	return key != "" && strings.Contains(text, key)
 }
 
-func decodeBody(c *gin.Context, v any) error {
-	d := json.NewDecoder(http.MaxBytesReader(c.Writer, c.Request.Body, maxCallBody))
-	if err := d.Decode(v); err != nil {
+// decodeChat reads the body of a request.
+func decodeChat(body io.Reader) (chatRequest, error) {
+	var r chatRequest
+	if err := json.NewDecoder(body).Decode(&r); err != nil {
 		var tooLarge *http.MaxBytesError
 		if errors.As(err, &tooLarge) {
-			return fmt.Errorf("body is above %d bytes", maxCallBody)
+			return r, fmt.Errorf("body is above %d bytes", maxCallBody)
 		}
-		return fmt.Errorf("body is not a JSON request: %w", err)
+		return r, fmt.Errorf("body is not a JSON request: %w", err)
 	}
-	return nil
+	return r, nil
 }
 
 // work checks a request and turns it into what an engine runs.
 func (r chatRequest) work(f form) (work, error) {
-	w := work{maxTokens: unit.Tokens(max(r.MaxTokens, r.MaxCompletionTokens))}
+	w := work{maxTokens: unit.Tokens(r.MaxTokens)}
+	if r.MaxCompletionTokens != 0 {
+		w.maxTokens = unit.Tokens(r.MaxCompletionTokens)
+	}
 	if r.Model == "" {
 		return w, errors.New("model is missing; name a route")
 	}
