decide: close admission to a target as its stop is ordered

Cause: only the engine's own report and the platform's list closed admission, and the list may lag. Ruled out: the gossip of leaving targets (the other target, which reports that it leaves, was quiet). Change: the sending of a stop order closes admission here, and peers are told at once.

--- a/internal/decide/peer.go
+++ b/internal/decide/peer.go
@@ -92,6 +92,11 @@
 		case op.DropStep:
 			s.Admit.CancelStep(now, e.Step, &more)
 			final.Add(e)
+		case op.SendOrder:
+			if e.Order.Kind == platform.Stop && s.Admit.Leave(now, e.Order.Target) {
+				s.Members.Push(&more)
+			}
+			final.Add(e)
 		case op.Exchange:
 			e.Know = s.Know(now)
 			final.Add(e)
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -72,6 +72,7 @@
 	staged  unit.Version
 	pausing time.Time
 	leaving bool
+	refuse  bool
 	running int
 	waiting int
 	fence   unit.Fence
@@ -118,11 +119,12 @@
 	}
 }
 
-// Leave makes the engine refuse new work and report that it leaves.
-func (e *Engine) Leave() {
+// Leave makes the engine report that it leaves, and refuse new work if refuse
+// is set.
+func (e *Engine) Leave(refuse bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.leaving = true
+	e.leaving, e.refuse = true, refuse
 }
 
 // Stats returns a copy of what the engine saw.
@@ -145,7 +147,10 @@
 	mux.HandleFunc("POST /call/{path...}", e.call)
 	mux.HandleFunc("GET /load", e.load)
 	mux.HandleFunc("POST /swap", e.swap)
-	mux.HandleFunc("POST /leave", func(w http.ResponseWriter, _ *http.Request) { e.Leave(); reply(w, struct{}{}) })
+	mux.HandleFunc("POST /leave", func(w http.ResponseWriter, r *http.Request) {
+		e.Leave(r.URL.Query().Has("refuse"))
+		reply(w, struct{}{})
+	})
 	mux.HandleFunc("GET /stats", func(w http.ResponseWriter, _ *http.Request) { reply(w, e.Stats()) })
 	mux.HandleFunc("POST /faults", func(w http.ResponseWriter, r *http.Request) {
 		var f Fault
@@ -188,7 +193,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.stats.Seen = append(e.stats.Seen, fmt.Sprintf("%s %v", r.URL, r.Header))
-	if e.leaving {
+	if e.refuse {
 		w.Header().Set("X-Outcome", unit.NotRun.String())
 		w.Header().Set("X-Leaving", "true")
 		http.Error(w, "leaving", http.StatusServiceUnavailable)
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -249,7 +249,7 @@
 		}
 		p.snap()
 		if e := p.running[o.Target]; e != nil {
-			e.Leave()
+			e.Leave(true)
 		}
 	}
 }
