--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -62,7 +62,6 @@
 	url     string
 	address map[string]string
 	order   []string
-	targets []platform.TargetState
 	streams map[string]chan string
 	marks   map[string]time.Time
 	dir     string
@@ -194,11 +193,9 @@
 	w.start(ts, name, "standin", append([]string{"engine", "--listen", a, "--name", name}, args[3:]...)...)
 	ts.Setenv(name, a)
 	w.untilUp(ts, "http://"+a+"/load")
-	t := platform.TargetState{
+	w.send(ts, w.url+"/targets", platform.TargetState{
 		Target: unit.Target(name), Pool: unit.Pool(args[1]), DataCentre: unit.DataCentre(args[2]), Address: a,
-	}
-	w.targets = append(w.targets, t)
-	w.send(ts, w.url+"/targets", t)
+	})
 }
 
 // instance NAME CENTRE [flags]: starts an instance, again at its old address.
@@ -221,26 +218,6 @@
 	w.untilUp(ts, "http://"+a+"/healthz")
 }
 
-// withTargets is the configuration with the script's engines in it, for lists
-// that lag.
-func (w *world) withTargets() string {
-	doc := document()
-	for _, pool := range []string{"draft-pool", "book-pool"} {
-		lines := ""
-		for _, t := range w.targets {
-			if string(t.Pool) == pool {
-				lines += fmt.Sprintf("      - {Name: %s, Address: %q, DataCentre: %s}\n", t.Target, t.Address, t.DataCentre)
-			}
-		}
-		if lines != "" {
-			kind := map[string]string{"draft-pool": "Model", "book-pool": "Plain"}[pool]
-			line := "  - {Name: " + pool + ", Kind: " + kind + "}\n"
-			doc = strings.Replace(doc, line, "  - Name: "+pool+"\n    Kind: "+kind+"\n    Targets:\n"+lines, 1)
-		}
-	}
-	return doc
-}
-
 // configure [FILE]: applies a configuration and waits until all are ready.
 func cmdConfigure(ts *testscript.TestScript, _ bool, args []string) {
 	file := "config.yaml"
@@ -248,9 +225,6 @@
 		file = args[0]
 	}
 	w := worldOf(ts)
-	if file == "listed.yaml" {
-		ts.Check(os.WriteFile(filepath.Join(w.dir, file), []byte(w.withTargets()), 0o600))
-	}
 	w.until(ts, 10*time.Second, "configuration applied", func() bool {
 		return ts.Exec("catkinhead", "apply", file) == nil
 	})
--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -17,6 +17,8 @@
 	Slow Mode = "Slow"
 	// Lost takes effect and then breaks the connection.
 	Lost Mode = "Lost"
+	// Stale answers the lists as they stood when the fault began.
+	Stale Mode = "Stale"
 	// FailSwap refuses the next swap after half of its time.
 	FailSwap Mode = "FailSwap"
 	// LoseSwap activates and then breaks the connection.
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -33,6 +33,7 @@
 	targets   []platform.TargetState
 	instances []platform.InstanceState
 	lists     []snapshot
+	frozen    *snapshot
 	versions  map[unit.Pool][]unit.Version
 	orders    []OrderRecord
 	byOrderID map[string]bool
@@ -293,6 +294,9 @@
 
 // lagged returns the newest snapshot that is old enough; p.mu is held.
 func (p *Platform) lagged() snapshot {
+	if p.frozen != nil {
+		return *p.frozen
+	}
 	limit := time.Now().Add(-time.Duration(p.LagMillis) * time.Millisecond)
 	for i := len(p.lists) - 1; i >= 0; i-- {
 		if !p.lists[i].at.After(limit) {
@@ -360,9 +364,24 @@
 
 func (p *Platform) setFault(w http.ResponseWriter, r *http.Request) {
 	var f Fault
-	if decode(w, r, &f) {
-		p.faults.set(f)
-		reply(w, struct{}{})
+	if !decode(w, r, &f) {
+		return
+	}
+	if f.Part == "list" {
+		p.freeze(f.Mode == Stale)
+	}
+	p.faults.set(f)
+	reply(w, struct{}{})
+}
+
+// freeze keeps the lists as they are, or lets them go on.
+func (p *Platform) freeze(on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.frozen = nil
+	if on {
+		s := p.lagged()
+		p.frozen = &s
 	}
 }
 
