member: make the roster once a round, and the quorum as news comes

Cause: each of 41 leases asked anew who lives and in which order, so a tick grew with the fleet times the leases. Ruled out: the exchange itself, whose number of peers a round is fixed. Change: the live members, their hashes, names and data centres are worked out once a round; candidates are looked for each half second; ranking counts no further than it must; the majority is kept up with each exchange instead of counted for each request.

--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -18,8 +18,12 @@
 	"github.com/catkinhead/catkinhead/pkg/unit"
 )
 
-// candidates is how many instances stand for a lease.
-const candidates = 3
+const (
+	// candidates is how many instances stand for a lease.
+	candidates = 3
+	// standEvery is the time between looks for which leases to stand.
+	standEvery clock.Millis = 500
+)
 
 // State is all that an instance decides on.
 type State struct {
@@ -38,7 +42,9 @@
 	// WasFresh is whether keys were acted on at the last tick.
 	WasFresh bool
 	Draining bool
-	Recent   Recent
+	// StandAt is when to look again for which leases to stand.
+	StandAt clock.Millis
+	Recent  Recent
 }
 
 // New returns the state of an instance at its start.
@@ -114,11 +120,14 @@
 	s.WallAt, s.TickAt = e.Wall, now
 	s.Members.Self.Beat++
 	s.Members.Reduce(now, e, out)
-	s.Config.Reduce(now, e, s.Members.Relay(now), out)
+	s.Config.Reduce(now, e, s.Members.Relay(), out)
 	s.checkFresh(now, out)
-	s.wantLeases(now)
+	if now >= s.StandAt {
+		s.StandAt = now + standEvery
+		s.wantLeases(now)
+	}
 	s.Leases.Reduce(now, e, out)
-	s.Admit.Peers = max(len(s.Members.Live(now)), 1)
+	s.Admit.Peers = max(len(s.Members.Live()), 1)
 	s.Admit.Poll(now, out)
 	s.Admit.Expire(now, out)
 	s.Admit.ForgetSuspects(now)
@@ -162,7 +171,7 @@
 func (s *State) wantLeases(now clock.Millis) {
 	for _, scope := range s.scopes() {
 		_, _, held := s.Leases.Holds(scope, now)
-		stand := held || s.Members.Candidate(now, scope, candidates)
+		stand := held || s.Members.Candidate(scope, candidates)
 		s.Leases.Want(scope, stand && !s.Draining)
 	}
 }
@@ -182,13 +191,13 @@
 
 // centres lists the data centres in which targets stand or are wanted.
 func (s *State) centres() []unit.DataCentre {
-	set := map[unit.DataCentre]bool{s.Members.Self.DataCentre: true}
+	set := make(map[unit.DataCentre]bool)
+	for _, dc := range s.Members.Roster.Centres {
+		set[dc] = true
+	}
 	for _, t := range s.Listed {
 		set[t.DataCentre] = true
 	}
-	for _, m := range s.Members.Members {
-		set[m.DataCentre] = true
-	}
 	if s.Config.Index != nil {
 		for _, p := range s.Config.Index.Pools {
 			for _, n := range p.Counts {
--- a/internal/decide/decide_test.go
+++ b/internal/decide/decide_test.go
@@ -254,18 +254,30 @@
 	}
 }
 
+// BenchmarkTick ticks an instance of a fleet with the data centres and pools
+// of the size that is designed for.
 func BenchmarkTick(b *testing.B) {
-	for _, peers := range []int{8, 128, 1600} {
+	for _, peers := range []int{8, 16, 32, 64, 128, 400, 1600} {
 		b.Run(fmt.Sprint(peers), func(b *testing.B) {
 			f := newNode()
+			c := testConfig()
+			for i := range 22 {
+				c.Pools = append(c.Pools, spec.Pool{Name: unit.Pool(fmt.Sprint("p", i)), Kind: spec.Model})
+			}
+			f.reduce(op.StateRead{Result: op.Done, Revision: 9, State: &op.OperatorState{ConfigVersion: 9, Parsed: c}})
 			var list []platform.InstanceState
 			for i := range peers {
-				list = append(list, platform.InstanceState{Instance: unit.Instance(fmt.Sprintf("i%04d", i)), Address: "x", DataCentre: "north"})
+				list = append(list, platform.InstanceState{
+					Instance: unit.Instance(fmt.Sprintf("i%04d", i)), Address: "x", DataCentre: unit.DataCentre(fmt.Sprint("dc", i%18)),
+				})
 			}
 			f.reduce(op.ListRead{Result: op.Done, Instances: list})
 			b.ReportAllocs()
 			for b.Loop() {
 				f.now += 100
+				for _, m := range f.s.Members.Members {
+					m.BeatAt = f.now
+				}
 				f.s.Reduce(f.now, op.Tick{Wall: f.now})
 			}
 		})
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"strings"
 
@@ -40,6 +39,14 @@
 	Listing bool
 	// ListRead is set once the platform's list was read.
 	ListRead bool
+	// Roster is made from Members once a round, and when members change.
+	Roster Roster
+	// Stale is set while Roster lacks a change of members.
+	Stale bool
+	// QuorumAt is the time since which a majority was asked, kept up with each
+	// change of Members; Quorum is set if there was one.
+	QuorumAt clock.Millis
+	Quorum   bool
 }
 
 // Member is one other instance.
@@ -74,9 +81,11 @@
 		if e.Result == op.Done {
 			s.ListRead = true
 			s.list(now, e)
+			s.QuorumAt, s.Quorum = s.quorum()
 		}
 	case op.PeerHeard:
 		s.heard(now, e)
+		s.QuorumAt, s.Quorum = s.quorum()
 	case op.PeerSilent:
 		if m := s.Members[e.Instance]; m != nil {
 			m.Busy = false
@@ -85,6 +94,9 @@
 }
 
 func (s *State) tick(now clock.Millis, out *op.List) {
+	if s.Stale || now >= s.RoundAt {
+		s.muster(now)
+	}
 	if now >= s.ListAt && !s.Listing {
 		s.ListAt = now + listEvery
 		s.Listing = true
@@ -103,7 +115,7 @@
 // exchange begins exchanges with the next n peers in turn. Each instance
 // starts its turn at another place.
 func (s *State) exchange(n int, out *op.List) {
-	names := slices.Sorted(maps.Keys(s.Members))
+	names := s.Roster.Names
 	if len(names) == 0 {
 		return
 	}
@@ -111,7 +123,7 @@
 	for range min(n, len(names)) {
 		m := s.Members[names[(offset+s.Turn)%len(names)]]
 		s.Turn++
-		if m.Busy || m.Address == "" {
+		if m == nil || m.Busy || m.Address == "" {
 			continue
 		}
 		m.Busy = true
@@ -133,6 +145,7 @@
 	for name, m := range s.Members {
 		if !m.Listed && !s.live(now, m) {
 			delete(s.Members, name)
+			s.Stale = true
 		}
 	}
 }
@@ -168,14 +181,17 @@
 	if m == nil {
 		m = &Member{MemberInfo: x, BeatAt: now}
 		s.Members[name] = m
+		s.Stale = true
 		return m
 	}
 	switch {
 	case x.Incarnation > m.Incarnation:
 		busy, listed := m.Busy, m.Listed
 		*m = Member{MemberInfo: x, BeatAt: now, Busy: busy, Listed: listed}
+		s.Stale = true
 	case x.Incarnation == m.Incarnation && x.Beat > m.Beat:
 		x.ConfigVersion = max(x.ConfigVersion, m.ConfigVersion)
+		s.Stale = s.Stale || x.Leaving && !m.Leaving
 		x.Leaving = x.Leaving || m.Leaving
 		m.MemberInfo, m.BeatAt = x, now
 	}
@@ -193,96 +209,68 @@
 }
 
 // Live returns the live members in order of name, this one included unless it
-// leaves.
-func (s *State) Live(now clock.Millis) []op.MemberInfo {
-	var out []op.MemberInfo
-	if !s.Self.Leaving {
-		out = append(out, s.Self)
-	}
-	for _, m := range s.Members {
-		if s.live(now, m) {
-			out = append(out, m.MemberInfo)
-		}
-	}
-	slices.SortFunc(out, func(a, b op.MemberInfo) int {
-		return strings.Compare(string(a.Incarnation), string(b.Incarnation))
-	})
-	return out
-}
+// leaves, as of the last round.
+func (s *State) Live() []op.MemberInfo { return s.Roster.Live }
 
 // Majority tells whether this instance has itself asked a majority of all
 // known members since a time, counting itself. An instance that never read
 // the platform's list does not know of whom it would need a majority.
 func (s *State) Majority(since clock.Millis) bool {
-	if !s.ListRead {
-		return false
-	}
-	n := 1
-	for _, m := range s.Members {
-		if m.Heard && m.HeardAt >= since {
-			n++
-		}
-	}
-	return 2*n > len(s.Members)+1
+	return s.ListRead && (len(s.Members) == 0 || s.Quorum && s.QuorumAt >= since)
 }
 
 // Relay tells whether this instance reads the store for its data centre.
-func (s *State) Relay(now clock.Millis) bool {
-	var same []op.MemberInfo
-	for _, m := range s.Live(now) {
-		if m.DataCentre == s.Self.DataCentre {
-			same = append(same, m)
-		}
-	}
-	return s.rank("relay", same) < relays
+func (s *State) Relay() bool {
+	return s.rank("relay", relays, func(m op.MemberInfo) bool { return m.DataCentre == s.Self.DataCentre }) < relays
 }
 
 // Candidate tells whether this instance is among the first n for a scope.
-func (s *State) Candidate(now clock.Millis, scope unit.Scope, n int) bool {
-	return s.rank(string(scope), s.Live(now)) < n
+func (s *State) Candidate(scope unit.Scope, n int) bool {
+	return s.rank(string(scope), n, func(op.MemberInfo) bool { return true }) < n
 }
 
 // rank is the number of members that go before this instance by rendezvous
-// hashing, so that the loss of one moves only what it had.
-func (s *State) rank(what string, among []op.MemberInfo) int {
-	mine, n := weightOf(what, s.Self), 0
-	for _, m := range among {
-		if m.Incarnation != s.Self.Incarnation && weightOf(what, m) > mine {
-			n++
-		}
-	}
+// hashing, so that the loss of one moves only what it had. It counts no
+// further than limit.
+func (s *State) rank(what string, limit int, among func(op.MemberInfo) bool) int {
 	if s.Self.Leaving {
-		return len(among) + relays
+		return limit
+	}
+	h := xxhash.Sum64String(what)
+	mine, n := mix(h, hashOf(s.Self)), 0
+	for i, m := range s.Roster.Live {
+		if m.Incarnation != s.Self.Incarnation && among(m) && mix(h, s.Roster.Hashes[i]) > mine {
+			if n++; n >= limit {
+				return n
+			}
+		}
 	}
 	return n
 }
 
-func weightOf(what string, m op.MemberInfo) uint64 {
-	return xxhash.Sum64String(what + "/" + string(NameOf(m.Incarnation)))
-}
-
 // Nearest returns up to n other live members for something, by rendezvous
 // hashing.
-func (s *State) Nearest(now clock.Millis, what string, n int) []op.MemberInfo {
+func (s *State) Nearest(what string, n int) []op.MemberInfo {
+	h := xxhash.Sum64String(what)
 	var out []op.MemberInfo
-	for _, m := range s.Live(now) {
+	for _, m := range s.Roster.Live {
 		if m.Incarnation != s.Self.Incarnation && m.Address != "" {
 			out = append(out, m)
 		}
 	}
 	slices.SortFunc(out, func(a, b op.MemberInfo) int {
-		return cmp.Compare(weightOf(what, b), weightOf(what, a))
+		return cmp.Compare(mix(h, hashOf(b)), mix(h, hashOf(a)))
 	})
 	return out[:min(n, len(out))]
 }
 
 // Sample returns a bounded, changing choice of members to tell of.
 func (s *State) Sample() []op.MemberInfo {
-	names := slices.Sorted(maps.Keys(s.Members))
+	names := s.Roster.Names
 	var out []op.MemberInfo
 	for i := range min(sampleSize, len(names)) {
 		m := s.Members[names[(s.Turn*sampleSize+i)%len(names)]]
-		if m.Beat > 0 {
+		if m != nil && m.Beat > 0 {
 			out = append(out, m.MemberInfo)
 		}
 	}
@@ -292,9 +280,13 @@
 // Lagging returns the live members not known to have a configuration.
 func (s *State) Lagging(now clock.Millis, version int64) []unit.Instance {
 	var out []unit.Instance
-	for _, m := range s.Live(now) {
-		if m.ConfigVersion < version && m.Incarnation != s.Self.Incarnation {
-			out = append(out, NameOf(m.Incarnation))
+	for _, name := range s.Roster.Names {
+		m := s.Members[name]
+		if m == nil || !s.live(now, m) {
+			continue
+		}
+		if m.ConfigVersion < version {
+			out = append(out, name)
 		}
 	}
 	return out
--- a/internal/serve/report.go
+++ b/internal/serve/report.go
@@ -99,7 +99,7 @@
 func (p *Process) keepers(source string) []op.MemberInfo {
 	var out []op.MemberInfo
 	p.loop.Ask(func(now clock.Millis, s *decide.State) {
-		out = s.Members.Nearest(now, source, keepTries)
+		out = s.Members.Nearest(source, keepTries)
 	})
 	return out
 }
@@ -135,7 +135,7 @@
 
 func (p *Process) gatherPeers(ctx context.Context) []op.Counters {
 	var members []op.MemberInfo
-	p.loop.Ask(func(now clock.Millis, s *decide.State) { members = s.Members.Live(now) })
+	p.loop.Ask(func(now clock.Millis, s *decide.State) { members = s.Members.Live() })
 	answers := make(chan []op.Counters)
 	for _, m := range members {
 		go func() {
