member, admit: keep the cost of lists and load reports within a budget

Cause: every instance read the whole list each 2 s and asked up to 96 targets of each pool for a report each 500 ms. Ruled out: exchanges (1.6 KB whatever the fleet's size) and decisions (1.3 to 1.7 us from 10 to 10000 targets). Change: the pause between lists grows with their length (9 KB a second at most), the pause between reports with their number (31 a second at most), and an instance uses 96 targets in all, at least 4 of each pool. At today's sizes nothing changes: 2 s and 504 ms. Cost: at the large size a target's report is 3.2 s old, so that a target that leaves is first heard of from peers, orders and refusals.

--- a/internal/admit/pick.go
+++ b/internal/admit/pick.go
@@ -1,6 +1,11 @@
 package admit
 
-import "github.com/catkinhead/catkinhead/pkg/clock"
+import (
+	"math"
+
+	"github.com/catkinhead/catkinhead/pkg/clock"
+	"github.com/catkinhead/catkinhead/pkg/unit"
+)
 
 const (
 	// probes is how many targets near a prefix's own are tried.
@@ -24,7 +29,7 @@
 
 // nextOther looks through the first runs of all flows in order.
 func (s *State) nextOther(now clock.Millis, p *Pool) (*Run, *Target) {
-	if !p.room(now, s.Peers) {
+	if !p.room(now, s.sharers(p.Name)) {
 		return nil, nil
 	}
 	var best *flow
@@ -44,9 +49,9 @@
 }
 
 // room tells whether any target can take a run.
-func (p *Pool) room(now clock.Millis, peers int) bool {
+func (p *Pool) room(now clock.Millis, sharers int) bool {
 	for _, t := range p.Targets {
-		if t.open(now) && t.InFlight < t.limit(peers) {
+		if t.open(now) && t.InFlight < t.limit(sharers) {
 			return true
 		}
 	}
@@ -90,7 +95,7 @@
 
 // fits tells whether a target may take a run now.
 func (s *State) fits(now clock.Millis, t *Target, run *Run) bool {
-	if !t.open(now) || t.InFlight >= t.limit(s.Peers) {
+	if !t.open(now) || t.InFlight >= t.limit(s.sharers(t.Pool)) {
 		return false
 	}
 	if run.Suspect && t.Suspects > 0 {
@@ -103,3 +108,12 @@
 func (t *Target) open(now clock.Millis) bool {
 	return !t.Leaving && now >= t.DownUntil && t.Address != ""
 }
+
+// sharers is how many instances use one target of a pool on average.
+func (s *State) sharers(name unit.Pool) int {
+	p := s.pool(name)
+	if p.Used == 0 {
+		return s.Peers
+	}
+	return int(math.Ceil(float64(s.Peers) * p.Used))
+}
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -13,6 +13,10 @@
 
 // Pool is the queue of one pool and the targets known of it.
 type Pool struct {
+	Name unit.Pool
+	// Used is the part of the pool's targets that this instance uses; 0 is
+	// all.
+	Used float64
 	// Targets in order of name.
 	Targets []*Target
 	// InFlight counts the runs on them.
--- a/internal/admit/target.go
+++ b/internal/admit/target.go
@@ -13,14 +13,19 @@
 )
 
 const (
-	// pollEvery is the time between load reports of a target.
+	// pollEvery is the shortest time between load reports of a target.
 	pollEvery clock.Millis = 500
+	// pollShare is the time that a report adds to the pause, so that an
+	// instance asks for no more than 1000/pollShare a second.
+	pollShare clock.Millis = 36
 	// downFor is how long a failed target gets no work without a report.
 	downFor clock.Millis = clock.Second
 	// untriedLimit is what a target gets before its first report.
 	untriedLimit = 2
-	// maxTargets bounds the targets of one pool that an instance uses.
+	// maxTargets bounds the targets that an instance uses, and minTargets is
+	// what it uses of each pool at the least.
 	maxTargets = 96
+	minTargets = 4
 	// leavingTold is how long peers are told that a target leaves.
 	leavingTold clock.Millis = 30 * clock.Second
 )
@@ -74,21 +79,29 @@
 	s.driveAll(now, out)
 }
 
-// subset picks the targets that this instance uses of large pools, by
-// rendezvous hashing, so that the coming or going of one moves only one.
+// subset picks the targets that this instance uses of each pool, by rendezvous
+// hashing, so that the coming or going of one moves only one.
 func (s *State) subset(list []platform.TargetState) []platform.TargetState {
 	byPool := make(map[unit.Pool][]platform.TargetState)
 	for _, x := range list {
 		byPool[x.Pool] = append(byPool[x.Pool], x)
 	}
+	if len(list) <= maxTargets {
+		for _, p := range s.Pools {
+			p.Used = 0
+		}
+		return list
+	}
+	most := max(maxTargets/len(byPool), minTargets)
 	var out []platform.TargetState
 	for _, name := range slices.Sorted(maps.Keys(byPool)) {
 		ts := byPool[name]
-		if len(ts) > maxTargets {
+		s.pool(name).Used = float64(min(most, len(ts))) / float64(len(ts))
+		if len(ts) > most {
 			slices.SortFunc(ts, func(a, b platform.TargetState) int {
 				return cmp.Compare(s.affinity(b.Target), s.affinity(a.Target))
 			})
-			ts = ts[:maxTargets]
+			ts = ts[:most]
 		}
 		out = append(out, ts...)
 	}
@@ -114,7 +127,7 @@
 func (s *State) pool(name unit.Pool) *Pool {
 	p := s.Pools[name]
 	if p == nil {
-		p = &Pool{}
+		p = &Pool{Name: name}
 		s.Pools[name] = p
 	}
 	return p
@@ -144,13 +157,14 @@
 
 // Poll asks for the load reports that are due.
 func (s *State) Poll(now clock.Millis, out *op.List) {
+	pause := max(pollEvery, clock.Millis(len(s.Targets))*pollShare)
 	for _, name := range slices.Sorted(maps.Keys(s.Targets)) {
 		t := s.Targets[name]
 		if t.Polling || now < t.PollAt {
 			continue
 		}
 		t.Polling = true
-		t.PollAt = now + pollEvery
+		t.PollAt = now + pause
 		out.Add(op.ReadLoad{Target: name, Address: t.Address})
 	}
 }
@@ -185,12 +199,12 @@
 // limit is how many runs this instance may have on the target: its slots and
 // a quarter more to keep it busy, less what others have there, and at least
 // an equal share.
-func (t *Target) limit(peers int) int {
+func (t *Target) limit(sharers int) int {
 	if !t.Reported {
 		return untriedLimit
 	}
 	slots := max(t.Load.Slots, 1)
-	share := max(slots/max(peers, 1), 1)
+	share := max(slots/max(sharers, 1), 1)
 	return max(slots+(slots+3)/4-t.Others, share)
 }
 
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -20,8 +20,12 @@
 	pushTo = 3
 	// sampleSize is the number of members told of in one exchange.
 	sampleSize = 12
-	// listEvery is the time between reads of the platform's list.
+	// listEvery is the shortest time between reads of the platform's list.
 	listEvery clock.Millis = 2 * clock.Second
+	// listBudget is what reading the list may cost, in bytes a second, and
+	// listEntry what an entry takes.
+	listBudget = 9000
+	listEntry  = 128
 	// LiveFor is how long a member counts as live after its last beat.
 	LiveFor clock.Millis = 5 * clock.Second
 	// relays is the number of instances of a data centre that read the store.
@@ -80,6 +84,7 @@
 		s.Listing = false
 		if e.Result == op.Done {
 			s.ListRead = true
+			s.ListAt = now + listPause(len(e.Targets)+len(e.Instances))
 			s.list(now, e)
 			s.QuorumAt, s.Quorum = s.quorum()
 		}
@@ -109,6 +114,12 @@
 	s.exchange(fanOut, out)
 }
 
+// listPause is the time until the next read of a list of a length. A list that
+// is long is read less often; who leaves is heard of from peers before.
+func listPause(entries int) clock.Millis {
+	return max(listEvery, clock.Millis(entries)*listEntry*clock.Second/listBudget)
+}
+
 // Push tells a few peers at once.
 func (s *State) Push(out *op.List) { s.exchange(pushTo, out) }
 
--- a/internal/serve/dump.go
+++ b/internal/serve/dump.go
@@ -82,7 +82,12 @@
 		return float64(n)
 	})
 	gauge("catkinhead_reports_different_total", func(_ clock.Millis, s *decide.State) float64 { return float64(s.Usage.Different) })
+	set.NewGauge("catkinhead_peer_bytes_total", func() float64 { return float64(p.peers.bytes.Load()) })
+	if e, ok := p.out.Loads.(*wire.Engines); ok {
+		set.NewGauge("catkinhead_load_bytes_total", func() float64 { return float64(e.LoadBytes.Load()) })
+	}
 	if w, ok := p.out.Store.(*wire.Platform); ok {
+		set.NewGauge("catkinhead_platform_bytes_total", func() float64 { return float64(w.Bytes.Load()) })
 		set.NewGauge("catkinhead_store_calls_total", func() float64 { return float64(w.Calls.Load()) })
 	}
 	return set
--- a/internal/serve/peers.go
+++ b/internal/serve/peers.go
@@ -4,12 +4,14 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/twitchtv/twirp"
 
 	"github.com/catkinhead/catkinhead/internal/op"
 	"github.com/catkinhead/catkinhead/pkg/clock"
+	"github.com/catkinhead/catkinhead/pkg/platform/wire"
 	"github.com/catkinhead/catkinhead/pkg/rpc"
 	"github.com/catkinhead/catkinhead/pkg/unit"
 )
@@ -23,6 +25,8 @@
 
 // peers keeps the clients to other instances.
 type peers struct {
+	// bytes counts what was read and written on connections to peers.
+	bytes  *atomic.Int64
 	header http.Header
 	http   *http.Client
 	mu     sync.Mutex
@@ -30,10 +34,14 @@
 }
 
 func newPeers(secret string) *peers {
+	n := &atomic.Int64{}
 	return &peers{
+		bytes:  n,
 		header: http.Header{secretHeader: {secret}},
-		http:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}},
-		by:     make(map[string]rpc.Peer),
+		http: &http.Client{Transport: &http.Transport{
+			DialContext: wire.CountingDial(n), MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute,
+		}},
+		by: make(map[string]rpc.Peer),
 	}
 }
 
--- a/internal/serve/process.go
+++ b/internal/serve/process.go
@@ -255,3 +255,6 @@
 		}).Error("the deadline of the planned stop passed")
 	})
 }
+
+// PeerBytes is what was read and written on connections to peers.
+func (p *Process) PeerBytes() int64 { return p.peers.bytes.Load() }
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -231,7 +231,7 @@
 		case mode == Cut && i == length/2:
 			panic(http.ErrAbortHandler)
 		case mode == Crossed && i == length/2:
-			c.Request = "another"
+			c.Request, c.Text = "another", "another "
 		case mode == Hide:
 			c.Version = 0
 		}
--- a/pkg/platform/wire/client.go
+++ b/pkg/platform/wire/client.go
@@ -33,6 +33,8 @@
 	From unit.Instance
 	// Calls counts the calls made to the object API, a watch as one.
 	Calls atomic.Int64
+	// Bytes counts what was read and written, orders and reports left out.
+	Bytes atomic.Int64
 
 	plain  *http.Client
 	orders *http.Client
@@ -40,11 +42,9 @@
 
 // NewPlatform returns a client for the platform at base.
 func NewPlatform(base string, c clock.Clock, timeout time.Duration) *Platform {
-	return &Platform{
-		Base: base, Timeout: timeout,
-		plain:  countedClient(8, true),
-		orders: orderClient(c),
-	}
+	p := &Platform{Base: base, Timeout: timeout, orders: orderClient(c)}
+	p.plain = countedClient(8, true, &p.Bytes)
+	return p
 }
 
 // Get reads an object.
--- a/pkg/platform/wire/count.go
+++ b/pkg/platform/wire/count.go
@@ -9,16 +9,32 @@
 	"time"
 )
 
-// counted is a connection that counts the bytes handed to the kernel.
+// counted is a connection that counts the bytes handed to the kernel, and adds
+// all bytes to a total if there is one.
 type counted struct {
 	net.Conn
 	written atomic.Int64
+	total   *atomic.Int64
+}
+
+// Read passes on and counts what came.
+func (c *counted) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.add(n)
+	return n, err
+}
+
+func (c *counted) add(n int) {
+	if c.total != nil {
+		c.total.Add(int64(n))
+	}
 }
 
 // Write passes b on and counts what was taken.
 func (c *counted) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
 	c.written.Add(int64(n))
+	c.add(n)
 	return n, err
 }
 
@@ -51,17 +67,22 @@
 	return w.conn != nil && w.conn.written.Load() > w.before
 }
 
-// countedClient returns a client whose connections count what they write.
-func countedClient(idlePerHost int, keepAlive bool) *http.Client {
-	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
+// CountingDial returns a dial function whose connections add the bytes that
+// they read and write to total, which may be nil.
+func CountingDial(total *atomic.Int64) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		conn, err := (&net.Dialer{Timeout: 2 * time.Second}).DialContext(ctx, network, addr)
 		if err != nil {
 			return nil, err
 		}
-		return &counted{Conn: conn}, nil
+		return &counted{Conn: conn, total: total}, nil
 	}
+}
+
+// countedClient returns a client whose connections count what they write.
+func countedClient(idlePerHost int, keepAlive bool, total *atomic.Int64) *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         dial,
+		DialContext:         CountingDial(total),
 		MaxIdleConnsPerHost: idlePerHost,
 		MaxIdleConns:        2048,
 		IdleConnTimeout:     30 * time.Second,
--- a/pkg/platform/wire/engine.go
+++ b/pkg/platform/wire/engine.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/catkinhead/catkinhead/pkg/clock"
@@ -32,19 +33,25 @@
 	Timeout time.Duration
 	// From names the sender of weight orders.
 	From unit.Instance
+	// LoadBytes counts what load reports read and wrote.
+	LoadBytes *atomic.Int64
 
 	plain  *http.Client
+	loads  *http.Client
 	once   *http.Client
 	orders *http.Client
 }
 
 // NewEngines returns a client for engines and services.
 func NewEngines(c clock.Clock, timeout time.Duration) *Engines {
+	loads := &atomic.Int64{}
 	return &Engines{
-		Timeout: timeout,
-		plain:   countedClient(256, true),
-		once:    countedClient(0, false),
-		orders:  orderClient(c),
+		Timeout:   timeout,
+		LoadBytes: loads,
+		plain:     countedClient(256, true, nil),
+		loads:     countedClient(256, true, loads),
+		once:      countedClient(0, false, nil),
+		orders:    orderClient(c),
 	}
 }
 
@@ -133,7 +140,7 @@
 	defer cancel()
 	var l platform.Load
 	p := Platform{}
-	err := p.do(ctx, e.plain, http.MethodGet, "http://"+address+"/load", nil, &l)
+	err := p.do(ctx, e.loads, http.MethodGet, "http://"+address+"/load", nil, &l)
 	return l, err
 }
 
