--- a/internal/scenario/check_test.go
+++ b/internal/scenario/check_test.go
@@ -63,9 +63,9 @@
 	})
 }
 
-// in-charge ORDERS|SWAPS... : counts at the receivers that no order from an
-// older grant came after one from a newer. With ENGINE names it checks their
-// swaps. atleast=N wants so many holders seen.
+// in-charge [ENGINE...] [atleast=N]: counts at the receivers, the platform and
+// the engines named, that no order from an older grant was taken after one from
+// a newer; atleast wants so many instances to have ordered.
 func cmdInCharge(ts *testscript.TestScript, _ bool, args []string) {
 	w := worldOf(ts)
 	o := options(args)
@@ -80,11 +80,32 @@
 		highest[x.DataCentre] = x.Fence
 		senders[x.From] = true
 	}
+	for _, e := range args {
+		if !strings.Contains(e, "=") {
+			swapsInCharge(ts, e, w.engineStats(ts, e).Swaps)
+		}
+	}
 	if n, _ := strconv.Atoi(o["atleast"]); len(senders) < n {
 		ts.Fatalf("orders came from %d instances, want %d", len(senders), n)
 	}
 }
 
+func swapsInCharge(ts *testscript.TestScript, name string, swaps []standin.SwapRecord) {
+	var highest unit.Fence
+	for i, x := range swaps {
+		if x.Refused {
+			continue
+		}
+		if x.Fence < highest {
+			ts.Fatalf("%s: order %d from %s has term %d after term %d", name, i, x.From, x.Fence, highest)
+		}
+		highest = x.Fence
+	}
+	if len(swaps) == 0 {
+		ts.Fatalf("%s took no order", name)
+	}
+}
+
 // usage WORKSPACE TOKENS [within=D]: waits until the reported windows add up,
 // and checks that none was reported with other figures.
 func cmdUsage(ts *testscript.TestScript, _ bool, args []string) {
