loopback: share one small fleet between the demo and the measurements

The demo and the capacity measurements each built platform, engines and instances in their own way. Now one package does. The random orders now bring a whole old state late; without the check of revisions that is red ('revision 1 after 2').

--- a/internal/decide/decide_test.go
+++ b/internal/decide/decide_test.go
@@ -145,7 +145,7 @@
 			f.readState(rev, append([]unit.KeyID(nil), withdrawn...))
 		case 6:
 			// An old answer comes late: it was read before the newest change.
-			f.reduce(op.StateRead{Result: op.Done, AskedAt: f.now - 3000, Revision: 1})
+			f.reduce(op.StateRead{Result: op.Done, AskedAt: f.now - 3000, Revision: 1, State: &op.OperatorState{ConfigVersion: 1, Parsed: testConfig()}})
 		case 7:
 			f.peer(c, rev, withdrawn)
 		case 8:
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -10,35 +10,26 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/sirupsen/logrus"
-	"go.uber.org/fx"
-
-	"github.com/catkinhead/catkinhead/internal/serve"
+	"github.com/catkinhead/catkinhead/internal/loopback"
 	"github.com/catkinhead/catkinhead/internal/setting"
 	"github.com/catkinhead/catkinhead/internal/standin"
 	"github.com/catkinhead/catkinhead/pkg/client"
-	"github.com/catkinhead/catkinhead/pkg/platform"
 	"github.com/catkinhead/catkinhead/pkg/rpc"
 	"github.com/catkinhead/catkinhead/pkg/spec"
 	"github.com/catkinhead/catkinhead/pkg/unit"
 )
 
 const (
-	fleetSecret  = "demo-fleet-secret-0123456789"
-	operatorKey  = "ck-demo-operator"
 	instances    = 3
 	engines      = 4
 	samples      = 64
 	groupSize    = 8
 	steps        = 3
 	window       = 2 * time.Second
-	startTime    = 10 * time.Second
 	deadline     = 28 * time.Second
 	sampleTokens = 40
 	longTokens   = 240
@@ -71,94 +62,52 @@
 }
 
 // fleet is all that runs.
-type fleet struct {
-	platform *standin.Platform
-	url      string
-	servers  []*http.Server
-	engines  []*standin.Engine
-	apps     []*fx.App
-	address  []string
-}
+type fleet struct{ *loopback.Fleet }
 
 // Run runs the demo.
 func Run(ctx context.Context, logTo io.Writer) (Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, deadline)
 	defer cancel()
-	f := &fleet{}
-	defer f.stop()
-	keys, err := f.start(ctx, logTo)
+	lf, err := loopback.New(&standin.Platform{CheckFence: true, LagMillis: 200}, logTo)
 	if err != nil {
 		return Result{}, err
 	}
-	return f.work(ctx, keys)
+	f := &fleet{lf}
+	keys, err := f.start(ctx)
+	var r Result
+	if err == nil {
+		r, err = f.work(ctx, keys)
+	}
+	return r, errors.Join(err, f.Stop())
 }
 
 // keysOf are the callers' keys by workspace.
 type keysOf map[unit.Workspace]string
 
-func (f *fleet) start(ctx context.Context, logTo io.Writer) (keysOf, error) {
-	f.platform = &standin.Platform{CheckFence: true, LagMillis: 200}
-	url, err := f.listen(f.platform.Handler())
-	if err != nil {
-		return nil, err
-	}
-	f.url = "http://" + url
-	f.platform.Publish("draft-pool", 2)
+func (f *fleet) start(ctx context.Context) (keysOf, error) {
+	f.Platform.Publish("draft-pool", 2)
 	for i := range engines {
-		e := standin.NewEngine(standin.EngineConfig{Name: fmt.Sprintf("engine-%d", i), TokenMicros: 1500, SwapMillis: 50, CheckFence: true})
-		if err := e.Listen("127.0.0.1:0"); err != nil {
+		err := f.AddEngine("draft-pool", centre(i), standin.EngineConfig{TokenMicros: 1500, SwapMillis: 50, CheckFence: true})
+		if err != nil {
 			return nil, err
 		}
-		f.engines = append(f.engines, e)
-		f.platform.AddTarget(platform.TargetState{
-			Target: unit.Target(fmt.Sprintf("engine-%d", i)), Pool: "draft-pool",
-			DataCentre: centre(i), Address: e.Address(),
-		})
 	}
-	keys, doc, err := document()
-	if err != nil {
-		return nil, err
-	}
-	log := logrus.New()
-	log.SetOutput(logTo)
-	log.SetFormatter(&logrus.JSONFormatter{})
 	for i := range instances {
-		if err := f.startInstance(ctx, i, log); err != nil {
+		if err := f.AddInstance(ctx, centre(i), func(s *setting.Settings) { s.Window = window }); err != nil {
 			return nil, err
 		}
 	}
-	return keys, f.configure(ctx, doc)
-}
-
-func centre(i int) unit.DataCentre { return unit.DataCentre([]string{"north", "south"}[i%2]) }
-
-func (f *fleet) startInstance(ctx context.Context, i int, log *logrus.Logger) error {
-	address, err := freeAddress()
+	keys, c, err := document()
 	if err != nil {
-		return err
-	}
-	name := unit.Instance(fmt.Sprintf("entry-%d", i))
-	set := setting.Settings{
-		Instance: name, DataCentre: centre(i), Listen: address, Platform: f.url,
-		FleetSecret: fleetSecret, OperatorKeyHash: spec.HashKey(operatorKey), Window: window,
-		StoreTimeout: time.Second, DrainLag: 100 * time.Millisecond, DrainDeadline: 10 * time.Second,
-		LogLevel: "info",
-	}
-	if err := set.Check(); err != nil {
-		return fmt.Errorf("settings of %s: %w", name, err)
-	}
-	app := serve.NewApp(set, log)
-	if err := app.Start(ctx); err != nil {
-		return fmt.Errorf("start %s: %w", name, err)
+		return nil, err
 	}
-	f.apps = append(f.apps, app)
-	f.address = append(f.address, address)
-	f.platform.AddInstance(platform.InstanceState{Instance: name, DataCentre: centre(i), Address: address})
-	return nil
+	return keys, f.Configure(ctx, c)
 }
 
+func centre(i int) unit.DataCentre { return unit.DataCentre([]string{"north", "south"}[i%2]) }
+
 // document is the demo's configuration and the keys in it.
-func document() (keysOf, []byte, error) {
+func document() (keysOf, spec.Config, error) {
 	keys := make(keysOf)
 	c := spec.Config{
 		Routes: []spec.Route{{Name: "draft", Pool: "draft-pool"}},
@@ -167,58 +116,13 @@
 	for _, w := range []unit.Workspace{"trainer-a", "trainer-b", "booking"} {
 		key, err := spec.NewKey()
 		if err != nil {
-			return nil, nil, err
+			return nil, c, err
 		}
 		keys[w] = key
 		c.Workspaces = append(c.Workspaces, spec.Workspace{Name: w, Weight: 1})
 		c.Keys = append(c.Keys, spec.Key{ID: unit.KeyID(w), Workspace: w, Hash: spec.HashKey(key)})
 	}
-	doc, err := spec.Format(c)
-	return keys, doc, err
-}
-
-// configure applies the configuration and waits until it is in force.
-func (f *fleet) configure(ctx context.Context, doc []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, startTime)
-	defer cancel()
-	op := f.operator()
-	for {
-		res, err := op.ApplyConfig(operatorContext(ctx), &rpc.ApplyConfigRequest{Document: doc})
-		if err == nil && len(res.Lagging) == 0 {
-			return f.awaitReady(ctx)
-		}
-		select {
-		case <-ctx.Done():
-			return fmt.Errorf("apply configuration: %w", errors.Join(ctx.Err(), err))
-		case <-time.After(100 * time.Millisecond):
-		}
-	}
-}
-
-func (f *fleet) awaitReady(ctx context.Context) error {
-	for _, a := range f.address {
-		for !ready(ctx, a) {
-			select {
-			case <-ctx.Done():
-				return fmt.Errorf("instance at %s: %w", a, ctx.Err())
-			case <-time.After(50 * time.Millisecond):
-			}
-		}
-	}
-	return nil
-}
-
-func ready(ctx context.Context, address string) bool {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/readyz", nil)
-	if err != nil {
-		return false
-	}
-	res, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return false
-	}
-	res.Body.Close()
-	return res.StatusCode == http.StatusOK
+	return keys, c, nil
 }
 
 // work runs the trainers and the live service, and counts.
@@ -242,7 +146,8 @@
 		}()
 	}
 	time.Sleep(1500 * time.Millisecond)
-	if _, err := f.operator().Activate(operatorContext(ctx), &rpc.ActivateRequest{Pool: "draft-pool", Version: 2}); err != nil {
+	opCtx, op := f.Operator(ctx, 0)
+	if _, err := op.Activate(opCtx, &rpc.ActivateRequest{Pool: "draft-pool", Version: 2}); err != nil {
 		endLive()
 		return r, fmt.Errorf("activate weights: %w", err)
 	}
@@ -262,7 +167,7 @@
 // train runs a trainer's steps.
 func (f *fleet) train(ctx context.Context, w unit.Workspace, key string, version *atomic.Int64) (TrainerResult, int64, error) {
 	t := TrainerResult{Workspace: w, ByVersion: make(map[int64]int)}
-	c := &client.Client{Addresses: f.address, Key: key}
+	c := &client.Client{Addresses: f.Addresses(), Key: key}
 	var tokens int64
 	for n := range steps {
 		seen := make(map[int32]bool)
@@ -322,7 +227,7 @@
 // awaitReports waits until the platform was told of all that was delivered.
 func (f *fleet) awaitReports(ctx context.Context, r *Result) {
 	for {
-		stats := f.platform.Stats()
+		stats := f.Platform.Stats()
 		r.Reported, r.Different = reportedTokens(stats), stats.Different
 		whole := true
 		for w, n := range r.Delivered {
@@ -393,45 +298,3 @@
 func (r *Result) broken(format string, args ...any) {
 	r.Broken = append(r.Broken, fmt.Sprintf(format, args...))
 }
-
-func (f *fleet) listen(h http.Handler) (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("listen for stand-in: %w", err)
-	}
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
-	f.servers = append(f.servers, srv)
-	go srv.Serve(ln) //nolint:errcheck // ends with Close
-	return ln.Addr().String(), nil
-}
-
-// stop ends everything, instances first.
-func (f *fleet) stop() {
-	ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
-	defer cancel()
-	done := make(chan struct{})
-	for _, a := range f.apps {
-		go func() {
-			_ = a.Stop(ctx)
-			done <- struct{}{}
-		}()
-	}
-	for range f.apps {
-		<-done
-	}
-	for _, e := range f.engines {
-		e.Close()
-	}
-	for _, s := range f.servers {
-		s.Close()
-	}
-}
-
-func freeAddress() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("find a free port: %w", err)
-	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
-}
--- a/internal/demo/live.go
+++ b/internal/demo/live.go
@@ -8,10 +8,7 @@
 	"net/http"
 	"time"
 
-	"github.com/twitchtv/twirp"
-
 	"github.com/catkinhead/catkinhead/internal/standin"
-	"github.com/catkinhead/catkinhead/pkg/rpc"
 )
 
 const (
@@ -31,7 +28,7 @@
 	var n liveCount
 	for i := 0; ctx.Err() == nil; i++ {
 		prompt := fmt.Sprintf("which tide suits family %d?", i)
-		text, tokens, err := ask(f.address[i%len(f.address)], key, prompt)
+		text, tokens, err := ask(f.Instances[i%len(f.Instances)].Address, key, prompt)
 		if err == nil {
 			n.answers++
 			n.tokens += tokens
@@ -77,15 +74,3 @@
 	}
 	return out.Choices[0].Message.Content, out.Usage.CompletionTokens, nil
 }
-
-func (f *fleet) operator() rpc.Operator {
-	return rpc.NewOperatorProtobufClient("http://"+f.address[0], http.DefaultClient)
-}
-
-func operatorContext(ctx context.Context) context.Context {
-	ctx, err := twirp.WithHTTPRequestHeaders(ctx, http.Header{"Authorization": {"Bearer " + operatorKey}})
-	if err != nil {
-		panic("authorization header is reserved: " + err.Error())
-	}
-	return ctx
-}
--- a/internal/serve/module.go
+++ b/internal/serve/module.go
@@ -46,9 +46,14 @@
 	platform.From = set.Instance
 	engines := wire.NewEngines(c, engineTimeout)
 	engines.From = set.Instance
+	return Over(platform, engines)
+}
+
+// Over is everything outside over the wire.
+func Over(p *wire.Platform, e *wire.Engines) Outside {
 	return Outside{
-		Store: platform, Orders: platform, Instances: platform, Weights: platform, Intake: platform,
-		Engine: engines, Service: engines, Loads: engines, Swaps: engines,
+		Store: p, Orders: p, Instances: p, Weights: p, Intake: p,
+		Engine: e, Service: e, Loads: e, Swaps: e,
 	}
 }
 
--- a/internal/setting/setting.go
+++ b/internal/setting/setting.go
@@ -65,6 +65,15 @@
 // Error lists the faults, a line each.
 func (f Faults) Error() string { return strings.Join(f, "\n") }
 
+// Default returns the settings that nothing was said about.
+func Default() Settings {
+	var s Settings
+	if err := env.ParseWithOptions(&s, env.Options{Environment: map[string]string{}}); err != nil {
+		panic("defaults of settings: " + err.Error())
+	}
+	return s
+}
+
 // FromEnvironment reads the variables of the process.
 func FromEnvironment() (Settings, error) {
 	var s Settings
