--- /dev/null
+++ b/cmd/experiment/main.go
@@ -0,0 +1,53 @@
+// Command experiment compares the admission policies on the same seeds and
+// prints the medians.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/catkinhead/catkinhead/internal/experiment"
+)
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	seeds := 5
+	p := flaggy.NewParser("experiment")
+	p.Description = "Compares the admission policies on stand-in engines; a run takes about ten seconds a seed, policy and workload."
+	p.Int(&seeds, "s", "seeds", "number of seeds")
+	if err := p.ParseArgs(args); err != nil || seeds < 1 {
+		fmt.Fprintln(os.Stderr, "error: --seeds is 1 or more", err)
+		return 2
+	}
+	var list []uint64
+	for i := range seeds {
+		list = append(list, uint64(i+1))
+	}
+	policies := []string{"round-robin", "least-loaded", "first-come", "fair"}
+	by := make(map[string][]experiment.Outcome)
+	var order []string
+	err := experiment.Run(context.Background(), policies, list, func(o experiment.Outcome) {
+		k := o.Workload + "/" + o.Policy
+		if by[k] == nil {
+			order = append(order, k)
+		}
+		by[k] = append(by[k], o)
+		fmt.Fprintf(os.Stderr, "%+v\n", o)
+	})
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "error:", err)
+		return 1
+	}
+	fmt.Println("| workload | policy | worst p99 ms | answered | refused | step ms | samples | prefix hits |")
+	fmt.Println("|---|---|---|---|---|---|---|---|")
+	for _, k := range order {
+		m := experiment.Median(by[k])
+		fmt.Printf("| %s | %s | %.0f | %d | %d | %.0f | %d | %.0f %% |\n",
+			m.Workload, m.Policy, m.WorstP99, m.Answered, m.Refused, m.StepMillis, m.Samples, m.HitShare*100)
+	}
+	return 0
+}
--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -41,6 +41,8 @@
 	Peers int
 	// Retries is what is left of the retry budget.
 	Retries float64
+	// Policy is fixed at the start.
+	Policy Policy
 	// Counts are kept for metrics and dumps.
 	Counts Counts
 }
@@ -66,6 +68,8 @@
 	Ran bool
 	// start is the virtual start time in the queue.
 	start float64
+	// passed counts the runs behind it that were sent ahead of it.
+	passed int
 	// gone marks a queued run that was ended; the queue drops it.
 	gone bool
 }
@@ -99,7 +103,7 @@
 	s.Counts.Admitted++
 	s.Retries = min(s.Retries+retryShare, retryReserve)
 	s.Runs[r.ID] = run
-	p.push(run, s.weight(run))
+	p.push(run, s.weight(run), s.Policy.sharing())
 	s.drive(now, p, out)
 }
 
--- a/internal/admit/pick.go
+++ b/internal/admit/pick.go
@@ -10,6 +10,9 @@
 const (
 	// probes is how many targets near a prefix's own are tried.
 	probes = 4
+	// lookAhead is how many waiting runs of a flow are looked through for one
+	// whose prefix is cached at a free target.
+	lookAhead = 32
 	// loadBound is how far above the mean a target may be for a prefix.
 	loadBound = 1.25
 )
@@ -22,14 +25,36 @@
 	}
 	first := p.heap[0]
 	if t := s.pick(now, p, first.runs[0]); t != nil {
-		return p.take(first), t
+		return p.takeNear(first, s.nearest(now, p, first, t)), t
 	}
 	return s.nextOther(now, p)
 }
 
+// nearest returns the place in a flow of the run to send to a target: the
+// first, or one shortly behind it whose prefix is cached there. No run is
+// passed over more than lookAhead times.
+func (s *State) nearest(now clock.Millis, p *Pool, f *flow, t *Target) int {
+	head := f.runs[0]
+	if s.Policy.Placement != nil || head.passed >= lookAhead || p.prefers(head, t) {
+		return 0
+	}
+	for i, run := range f.runs[1:min(len(f.runs), lookAhead)] {
+		if !run.gone && p.prefers(run, t) && s.fits(now, t, run) && !s.heldOff(now, run) {
+			return i + 1
+		}
+	}
+	return 0
+}
+
+// prefers tells whether a target is the one for a run's prefix.
+func (p *Pool) prefers(run *Run, t *Target) bool {
+	n := uint64(len(p.Targets))
+	return run.Prefix != 0 && p.Targets[run.Prefix%n] == t
+}
+
 // nextOther looks through the first runs of all flows in order.
 func (s *State) nextOther(now clock.Millis, p *Pool) (*Run, *Target) {
-	if !p.room(now, s.sharers(p.Name)) {
+	if !s.room(now, p) {
 		return nil, nil
 	}
 	var best *flow
@@ -49,53 +74,26 @@
 }
 
 // room tells whether any target can take a run.
-func (p *Pool) room(now clock.Millis, sharers int) bool {
+func (s *State) room(now clock.Millis, p *Pool) bool {
 	for _, t := range p.Targets {
-		if t.open(now) && t.InFlight < t.limit(sharers) {
+		if t.open(now) && t.InFlight < s.limit(t) {
 			return true
 		}
 	}
 	return false
 }
 
-// pick chooses a target for a run: one near its prefix with no more than its
-// share of the load, or else the least loaded.
+// pick chooses a target for a run, or none.
 func (s *State) pick(now clock.Millis, p *Pool, run *Run) *Target {
-	n := len(p.Targets)
-	if n == 0 || s.heldOff(now, run) {
+	if len(p.Targets) == 0 || s.heldOff(now, run) {
 		return nil
 	}
-	if run.Prefix != 0 {
-		bound := int(loadBound*float64(p.InFlight+1)/float64(n)) + 1
-		first := int(run.Prefix % uint64(n))
-		for i := range min(probes, n) {
-			t := p.Targets[(first+i)%n]
-			if t.InFlight < bound && s.fits(now, t, run) {
-				return t
-			}
-		}
-	}
-	return s.leastLoaded(now, p, run)
-}
-
-func (s *State) leastLoaded(now clock.Millis, p *Pool, run *Run) *Target {
-	var best *Target
-	var least float64
-	for _, t := range p.Targets {
-		if !s.fits(now, t, run) {
-			continue
-		}
-		load := float64(t.InFlight+t.Others+1) / float64(max(t.Load.Slots, 1))
-		if best == nil || load < least {
-			best, least = t, load
-		}
-	}
-	return best
+	return s.Policy.placement().place(now, s, p, run)
 }
 
 // fits tells whether a target may take a run now.
 func (s *State) fits(now clock.Millis, t *Target, run *Run) bool {
-	if !t.open(now) || t.InFlight >= t.limit(s.sharers(t.Pool)) {
+	if !t.open(now) || t.InFlight >= s.limit(t) {
 		return false
 	}
 	if run.Suspect && t.Suspects > 0 {
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -25,9 +25,12 @@
 	Waiting int
 
 	// now is the virtual time: the start of what was dispatched last.
-	now   float64
-	flows map[flowKey]*flow
-	heap  flowHeap
+	now float64
+	// turn and arrivals are for the baselines.
+	turn     int
+	arrivals int
+	flows    map[flowKey]*flow
+	heap     flowHeap
 }
 
 type flowKey struct {
@@ -68,10 +71,9 @@
 }
 
 // push queues a run behind the others of its flow.
-func (p *Pool) push(run *Run, weight float64) {
+func (p *Pool) push(run *Run, weight float64, by Sharing) {
 	f := p.flow(run)
-	run.start = max(p.now, f.finish)
-	f.finish = run.start + float64(max(run.Cost, 1))/weight
+	run.start = by.start(p, f, run, weight)
 	f.runs = append(f.runs, run)
 	p.Waiting++
 	p.settle(f)
@@ -109,11 +111,19 @@
 }
 
 // take removes the first run of a flow.
-func (p *Pool) take(f *flow) *Run {
-	run := f.runs[0]
-	f.runs = f.runs[1:]
+func (p *Pool) take(f *flow) *Run { return p.takeNear(f, 0) }
+
+// takeNear removes the i-th run of a flow, ahead of those before it.
+func (p *Pool) takeNear(f *flow, i int) *Run {
+	head, run := f.runs[0], f.runs[i]
+	if i == 0 {
+		f.runs = f.runs[1:]
+	} else {
+		head.passed++
+		f.runs = slices.Delete(f.runs, i, i+1)
+	}
 	p.Waiting--
-	p.now = max(p.now, run.start)
+	p.now = max(p.now, head.start)
 	p.settle(f)
 	return run
 }
--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -41,6 +41,7 @@
 	cpu := Slope{Name: "idle instance", X: "instances", Y: "% of a core"}
 	mem := Slope{Name: "memory of an instance", X: "instances", Y: "MB"}
 	net := Slope{Name: "traffic of an instance", X: "instances", Y: "KB a second"}
+	told := Slope{Name: "exchanges of an instance", X: "instances", Y: "KB a second"}
 	calls := Slope{Name: "store calls of the fleet", X: "instances", Y: "a second"}
 	change := Slope{Name: "configuration in force everywhere", X: "instances", Y: "ms"}
 	for _, n := range sizes {
@@ -52,19 +53,20 @@
 		cpu.Points = append(cpu.Points, Point{x, c.cpu / x})
 		mem.Points = append(mem.Points, Point{x, c.memory / x})
 		net.Points = append(net.Points, Point{x, c.traffic / x})
+		told.Points = append(told.Points, Point{x, c.peers / x})
 		calls.Points = append(calls.Points, Point{x, c.calls})
 		change.Points = append(change.Points, Point{x, c.change})
 	}
-	out := []Slope{cpu, mem, net, calls, change}
+	out := []Slope{cpu, mem, net, told, calls, change}
 	for i := range out {
 		out[i].fit()
 	}
 	return out, nil
 }
 
-// cost is what a whole fleet costs: % of a core, MB, KB a second, store calls
-// a second, and ms for a change.
-type cost struct{ cpu, memory, traffic, calls, change float64 }
+// cost is what a whole fleet costs: % of a core, MB, KB a second in all and
+// between peers, store calls a second, and ms for a change.
+type cost struct{ cpu, memory, traffic, peers, calls, change float64 }
 
 // costOf runs a fleet of n idle instances and measures it.
 func costOf(ctx context.Context, n int) (cost, error) {
@@ -90,6 +92,7 @@
 		cpu:     (b.cpu - a.cpu).Seconds() / sec * 100,
 		memory:  float64(heap()+stacks()-before) / 1e6,
 		traffic: float64(traffic) / sec / 1000,
+		peers:   2 * float64(b.peers-a.peers) / sec / 1000,
 		calls:   float64(b.calls-a.calls) / sec,
 		change:  float64(took.Milliseconds()),
 	}, nil
@@ -125,16 +128,23 @@
 	}
 	begun := time.Now()
 	opCtx, op := f.Operator(ctx, 0)
-	if _, err := op.ApplyConfig(opCtx, &rpc.ApplyConfigRequest{Document: doc}); err != nil {
-		return 0, fmt.Errorf("apply: %w", err)
-	}
+	applied := make(chan error, 1)
+	go func() {
+		// The call itself waits until all have confirmed, which takes longer.
+		_, err := op.ApplyConfig(opCtx, &rpc.ApplyConfigRequest{Document: doc})
+		applied <- err
+	}()
 	for !all(ctx, f, doc) {
 		if time.Since(begun) > time.Minute {
 			return 0, errors.New("not in force everywhere after a minute")
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
-	return time.Since(begun), nil
+	took := time.Since(begun)
+	if err := <-applied; err != nil {
+		return 0, fmt.Errorf("apply: %w", err)
+	}
+	return took, nil
 }
 
 func all(ctx context.Context, f *loopback.Fleet, doc []byte) bool {
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -33,6 +33,7 @@
 			s.Duration(&set.DrainDeadline, "", "drain-deadline", "time limit of a planned stop")
 			s.String(&set.Data, "", "data", "folder for the last configuration, if there is a disk")
 			s.String(&set.Record, "r", "record", "file for the trace of events")
+			s.String(&set.Policy, "", "policy", "how requests are admitted: fair, or a baseline: round-robin, least-loaded, first-come")
 			s.String(&set.LogLevel, "", "log-level", "debug, info, warning or error")
 			s.Duration(&set.OrderPause, "", "order-pause", "for tests: pause between deciding on an order and sending it")
 		},
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -24,7 +24,7 @@
 	listEvery clock.Millis = 2 * clock.Second
 	// listBudget is what reading the list may cost, in bytes a second, and
 	// listEntry what an entry takes.
-	listBudget = 9000
+	listBudget = 5000
 	listEntry  = 128
 	// LiveFor is how long a member counts as live after its last beat.
 	LiveFor clock.Millis = 5 * clock.Second
--- a/internal/serve/peers.go
+++ b/internal/serve/peers.go
@@ -19,6 +19,10 @@
 const (
 	// peerTime bounds an exchange between instances.
 	peerTime = time.Second
+	// idlePeers and idleTime bound the connections kept to peers, which would
+	// otherwise grow with the fleet.
+	idlePeers = 16
+	idleTime  = 10 * time.Second
 	// secretHeader carries the fleet secret.
 	secretHeader = "X-Catkinhead-Fleet"
 )
@@ -39,7 +43,7 @@
 		bytes:  n,
 		header: http.Header{secretHeader: {secret}},
 		http: &http.Client{Transport: &http.Transport{
-			DialContext: wire.CountingDial(n), MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute,
+			DialContext: wire.CountingDial(n), MaxIdleConnsPerHost: 2, MaxIdleConns: idlePeers, IdleConnTimeout: idleTime,
 		}},
 		by: make(map[string]rpc.Peer),
 	}
--- a/internal/serve/process.go
+++ b/internal/serve/process.go
@@ -14,6 +14,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
 
+	"github.com/catkinhead/catkinhead/internal/admit"
 	"github.com/catkinhead/catkinhead/internal/decide"
 	"github.com/catkinhead/catkinhead/internal/op"
 	"github.com/catkinhead/catkinhead/internal/setting"
@@ -98,7 +99,9 @@
 	if err != nil {
 		return nil, err
 	}
-	p.loop = newLoop(c, decide.New(self, window), rec, func(err error) {
+	state := decide.New(self, window)
+	state.Admit.Policy = admit.Policies[set.Policy]
+	p.loop = newLoop(c, state, rec, func(err error) {
 		p.log.Error("recording ended: " + err.Error())
 	})
 	p.loop.do = p.do
@@ -115,7 +118,7 @@
 		return nil, fmt.Errorf("create trace: %w", err)
 	}
 	p.trace = f
-	return trace.NewWriter(f, trace.Header{Self: p.self, Window: window})
+	return trace.NewWriter(f, trace.Header{Self: p.self, Window: window, Policy: p.set.Policy})
 }
 
 // Run starts the loop. It returns at once; Stop ends it.
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -52,6 +52,7 @@
 	plat.AddTarget(platform.TargetState{Target: "e1", Pool: "p", DataCentre: "north", Address: e.Address()})
 	set.Instance, set.DataCentre, set.Platform = "i1", "north", ps.URL
 	set.FleetSecret, set.OperatorKeyHash = "secret-of-the-test", spec.HashKey("op")
+	set.Policy = "fair"
 	set.Window, set.StoreTimeout, set.DrainDeadline, set.LogLevel = 2*time.Second, time.Second, 5*time.Second, "error"
 	log := logrus.New()
 	log.SetOutput(io.Discard)
--- a/internal/setting/setting.go
+++ b/internal/setting/setting.go
@@ -7,16 +7,19 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
 	"net/url"
 	"os"
 	"regexp"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/caarlos0/env/v11"
 	"github.com/sirupsen/logrus"
 
+	"github.com/catkinhead/catkinhead/internal/admit"
 	"github.com/catkinhead/catkinhead/pkg/unit"
 )
 
@@ -49,6 +52,8 @@
 	Data string `env:"DATA"`
 	// Record is a file for the trace of events; empty records nothing.
 	Record string `env:"RECORD"`
+	// Policy is how requests are admitted: "fair", or one of the baselines.
+	Policy string `env:"POLICY" envDefault:"fair"`
 	// LogLevel is debug, info, warning or error.
 	LogLevel string `env:"LOG_LEVEL" envDefault:"info"`
 	// OrderPause delays each order between its decision and its sending. It
@@ -129,6 +134,9 @@
 			add(name, d.v.String(), fmt.Sprintf("%v to %v is allowed", d.low, d.high))
 		}
 	}
+	if _, ok := admit.Policies[s.Policy]; !ok {
+		add("policy", s.Policy, "one of "+strings.Join(slices.Sorted(maps.Keys(admit.Policies)), ", ")+" is allowed")
+	}
 	if _, err := logrus.ParseLevel(s.LogLevel); err != nil {
 		add("log-level", s.LogLevel, "debug, info, warning or error is allowed")
 	}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -24,6 +25,10 @@
 	TokenMicros int64
 	// SwapMillis is how long an activation stops the batch.
 	SwapMillis int64
+	// PrefillMicros is the time of a prompt whose prefix is not cached.
+	PrefillMicros int64
+	// CachedPrefixes is how many prefixes the cache holds; 0 means 16.
+	CachedPrefixes int
 	// CheckFence makes the engine refuse an older fencing number.
 	CheckFence bool
 	// CrashOn is a text that crashes the engine when a prompt holds it.
@@ -42,6 +47,8 @@
 	Ended map[unit.Request]bool
 	// Calls counts the runs of each plain call by its body.
 	Calls map[string]int
+	// PrefixHits and PrefixMisses count prompts by their cached prefix.
+	PrefixHits, PrefixMisses int
 	// Seen holds every header and URL received.
 	Seen []string
 	// LastStart is the wall time of the newest request, in Unix milliseconds.
@@ -77,8 +84,13 @@
 	waiting int
 	fence   unit.Fence
 	stats   EngineStats
+	// cache holds prefixes, the one used last at the end.
+	cache []string
 }
 
+// prefixBytes is how much of a prompt the cache tells apart.
+const prefixBytes = 256
+
 // NewEngine returns an engine that does not listen yet.
 func NewEngine(cfg EngineConfig) *Engine {
 	if cfg.Slots == 0 {
@@ -87,6 +99,9 @@
 	if cfg.TokenMicros == 0 {
 		cfg.TokenMicros = 500
 	}
+	if cfg.CachedPrefixes == 0 {
+		cfg.CachedPrefixes = 16
+	}
 	if cfg.Version == 0 {
 		cfg.Version = 1
 	}
@@ -211,7 +226,7 @@
 	length := Length(work.Prompt, work.Seed, work.MaxTokens)
 	enc := json.NewEncoder(w)
 	rc := http.NewResponseController(w)
-	next := time.Now()
+	next := time.Now().Add(e.prefill(work.Prompt))
 	for i := unit.Tokens(0); i < length; i++ {
 		next = next.Add(time.Duration(e.cfg.TokenMicros) * time.Microsecond)
 		version, at := e.step(next)
@@ -242,6 +257,25 @@
 	}
 }
 
+// prefill returns how long a prompt takes before its first token, and notes
+// its prefix as the one used last.
+func (e *Engine) prefill(prompt string) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	prefix := prompt[:min(len(prompt), prefixBytes)]
+	if i := slices.Index(e.cache, prefix); i >= 0 {
+		e.stats.PrefixHits++
+		e.cache = append(slices.Delete(e.cache, i, i+1), prefix)
+		return 0
+	}
+	e.stats.PrefixMisses++
+	e.cache = append(e.cache, prefix)
+	if len(e.cache) > e.cfg.CachedPrefixes {
+		e.cache = e.cache[1:]
+	}
+	return time.Duration(e.cfg.PrefillMicros) * time.Microsecond
+}
+
 // step returns the version of the next token and when it may come: a swap
 // holds the whole batch up.
 func (e *Engine) step(next time.Time) (unit.Version, time.Time) {
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -9,6 +9,7 @@
 	"io"
 	"reflect"
 
+	"github.com/catkinhead/catkinhead/internal/admit"
 	"github.com/catkinhead/catkinhead/internal/decide"
 	"github.com/catkinhead/catkinhead/internal/op"
 	"github.com/catkinhead/catkinhead/pkg/clock"
@@ -21,6 +22,8 @@
 type Header struct {
 	Self   op.MemberInfo
 	Window clock.Millis
+	// Policy is the name of the admission policy; empty is the default.
+	Policy string `json:",omitempty"`
 }
 
 // Entry is one event and its effects.
@@ -96,6 +99,7 @@
 		return 0, fmt.Errorf("line 1: header: %w", err)
 	}
 	state := decide.New(h.Self, h.Window)
+	state.Admit.Policy = admit.Policies[h.Policy]
 	line := 1
 	for sc.Scan() {
 		line++
