--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -19,7 +19,7 @@
 	// pushTo is the number of peers told at once of something new.
 	pushTo = 3
 	// sampleSize is the number of members told of in one exchange.
-	sampleSize = 12
+	sampleSize = 6
 	// listEvery is the shortest time between reads of the platform's list.
 	listEvery clock.Millis = 2 * clock.Second
 	// listBudget is what reading the list may cost, in bytes a second, and
