admit: make up what a target lacks in proportion to one's own part of it

Cause: each instance took everything that a report showed beyond its own runs for the others', so two that shared a target backed off together to an equal share, and grew together at the next report, 500 ms later. Change: an instance makes up the lack or excess in proportion to its part of the load, at least half of a lack; the goal is the slots and half of them more.

--- a/internal/admit/policy.go
+++ b/internal/admit/policy.go
@@ -121,5 +121,5 @@
 	if s.Policy.Unlimited {
 		return math.MaxInt
 	}
-	return t.limit(s.sharers(t.Pool))
+	return t.allowed(s.sharers(t.Pool))
 }
--- a/internal/admit/target.go
+++ b/internal/admit/target.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 
 	"github.com/catkinhead/catkinhead/internal/op"
@@ -22,6 +23,8 @@
 	downFor clock.Millis = clock.Second
 	// untriedLimit is what a target gets before its first report.
 	untriedLimit = 2
+	// growPart is the part of a lack that an instance makes up at the least.
+	growPart = 0.5
 	// maxTargets bounds the targets that an instance uses, and minTargets is
 	// what it uses of each pool at the least.
 	maxTargets = 96
@@ -39,6 +42,8 @@
 	Reported bool
 	// Others is what other instances had there at the newest report.
 	Others int
+	// Limit is what the newest report allows this instance.
+	Limit int
 	// InFlight counts our own runs, Suspects those that are suspects.
 	InFlight int
 	Suspects int
@@ -182,7 +187,7 @@
 	}
 	was := t.Leaving
 	t.Load, t.Reported, t.DownUntil = e.Load, true, 0
-	t.Others = max(e.Load.Running+e.Load.Waiting-t.InFlight, 0)
+	t.learn()
 	if e.Load.Leaving {
 		t.leave(now)
 	}
@@ -196,16 +201,33 @@
 	}
 }
 
-// limit is how many runs this instance may have on the target: its slots and
-// a quarter more to keep it busy, less what others have there, and at least
-// an equal share.
-func (t *Target) limit(sharers int) int {
+// learn sets the limit from a report: what the target lacks or has too much of
+// is made up by this instance in proportion to its part of the load. Reports
+// lag, so an instance that took all of it back, or left it all to the others,
+// would swing between too much and too little.
+func (t *Target) learn() {
+	slots := max(t.Load.Slots, 1)
+	goal := slots + max(slots/2, 2)
+	total := max(t.Load.Running+t.Load.Waiting, t.InFlight)
+	t.Others = total - t.InFlight
+	part := 1.0
+	if total > 0 {
+		part = float64(t.InFlight) / float64(total)
+	}
+	lack := float64(goal - total)
+	if lack > 0 {
+		part = max(part, growPart)
+	}
+	t.Limit = t.InFlight + int(math.Round(lack*part))
+}
+
+// allowed is how many runs this instance may have on the target: what it
+// learnt, and at least an equal share.
+func (t *Target) allowed(sharers int) int {
 	if !t.Reported {
 		return untriedLimit
 	}
-	slots := max(t.Load.Slots, 1)
-	share := max(slots/max(sharers, 1), 1)
-	return max(slots+(slots+3)/4-t.Others, share)
+	return max(t.Limit, t.Load.Slots/max(sharers, 1), 1)
 }
 
 func (t *Target) attach(run *Run) {
