admit: keep the longest samples first, and record a try that failed

A step waits for its longest sample, so a run whose prefix fits no longer passes a longer one.

Tried and reverted: making up the whole of a target's lack at each report instead of half. Cause supposed: at the start of a step the limit still comes from the end of the last one, up to 500 ms ago.

--- a/internal/admit/pick.go
+++ b/internal/admit/pick.go
@@ -32,14 +32,15 @@
 
 // nearest returns the place in a flow of the run to send to a target: the
 // first, or one shortly behind it whose prefix is cached there. No run is
-// passed over more than lookAhead times.
+// passed over more than lookAhead times, nor by a shorter one, since a step
+// waits for its longest.
 func (s *State) nearest(now clock.Millis, p *Pool, f *flow, t *Target) int {
 	head := f.runs[0]
 	if s.Policy.Placement != nil || head.passed >= lookAhead || p.prefers(head, t) {
 		return 0
 	}
 	for i, run := range f.runs[1:min(len(f.runs), lookAhead)] {
-		if !run.gone && p.prefers(run, t) && s.fits(now, t, run) && !s.heldOff(now, run) {
+		if !run.gone && run.Cost >= head.Cost && p.prefers(run, t) && s.fits(now, t, run) && !s.heldOff(now, run) {
 			return i + 1
 		}
 	}
