cli, decide, op: split large files by object and concern, and drop what nobody reads

The command line has a file for each object, the reducer one for steps, one for views and one for what concerns hand to each other. Times that events carried and nobody read are gone, and so are three reasons that nobody gave. Recorded traces of a takeover and of a withdrawal during an outage are replayed against their outcomes; tests and fuzz targets for tickets, settings and traces.

--- /dev/null
+++ b/internal/cli/route.go
@@ -0,0 +1,56 @@
+package cli
+
+import (
+	"context"
+	"strconv"
+	"strings"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/catkinhead/catkinhead/pkg/spec"
+	"github.com/catkinhead/catkinhead/pkg/unit"
+)
+
+func (g *program) routeCommand() command {
+	var n named
+	var pool, workspaces string
+	var open, idempotent bool
+	create := command{
+		name: "create", help: "add a route to a pool",
+		flags: func(s *flaggy.Subcommand) {
+			n.flags(s)
+			s.String(&pool, "p", "pool", "the pool it leads to")
+			s.String(&workspaces, "w", "workspaces", "workspaces that may use it, with commas; default all")
+			s.Bool(&open, "", "open", "let callers without a key in")
+			s.Bool(&idempotent, "", "idempotent", "allow a second run after an unknown outcome")
+		},
+		run: func(ctx context.Context) error {
+			return g.edit(ctx, &n.remote, func(c *spec.Config) error {
+				r := spec.Route{Name: unit.Route(n.name), Pool: unit.Pool(pool), Open: open, Idempotent: idempotent}
+				for _, w := range splitList(workspaces) {
+					r.Workspaces = append(r.Workspaces, unit.Workspace(w))
+				}
+				c.Routes = append(c.Routes, r)
+				return nil
+			})
+		},
+	}
+	remove := g.remover("route", func(c *spec.Config, name string) bool {
+		return without(&c.Routes, func(r spec.Route) bool { return string(r.Name) == name })
+	})
+	list := g.lister("routes", []string{"Name", "Pool", "Open"}, func(c spec.Config) (any, [][]string) {
+		var rows [][]string
+		for _, r := range c.Routes {
+			rows = append(rows, []string{string(r.Name), string(r.Pool), strconv.FormatBool(r.Open)})
+		}
+		return c.Routes, rows
+	})
+	return command{name: "route", help: "create, delete and list routes", subs: []command{create, remove, list}}
+}
+
+func splitList(s string) []string {
+	if s == "" {
+		return nil
+	}
+	return strings.Split(s, ",")
+}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -14,6 +14,7 @@
 
 	"github.com/catkinhead/catkinhead/internal/serve"
 	"github.com/catkinhead/catkinhead/internal/setting"
+	"github.com/catkinhead/catkinhead/pkg/unit"
 )
 
 func (g *program) serveCommand() command {
@@ -41,7 +42,7 @@
 			if envErr != nil {
 				return &usageError{envErr.Error()}
 			}
-			set.Instance, set.DataCentre = unitInstance(instance), unitCentre(dc)
+			set.Instance, set.DataCentre = unit.Instance(instance), unit.DataCentre(dc)
 			if err := set.Check(); err != nil {
 				return fmt.Errorf("settings are wrong:\n%w", err)
 			}
--- /dev/null
+++ b/internal/decide/handover.go
@@ -0,0 +1,43 @@
+package decide
+
+import (
+	"github.com/catkinhead/catkinhead/internal/op"
+	"github.com/catkinhead/catkinhead/pkg/clock"
+	"github.com/catkinhead/catkinhead/pkg/platform"
+)
+
+// handOver carries out the effects by which one concern asks another, until
+// only effects for the runner are left.
+func (s *State) handOver(now clock.Millis, list op.List) op.List {
+	var final op.List
+	for len(list) > 0 {
+		e := list[0]
+		list = list[1:]
+		var more op.List
+		switch e := e.(type) {
+		case op.RunSample:
+			s.Admit.Submit(now, e.Request, &more)
+		case op.Refuse:
+			if e.Step.Name == "" {
+				final.Add(e)
+				break
+			}
+			s.Steps.Refused(now, e, s.stepView(now), &more)
+		case op.DropStep:
+			s.Admit.CancelStep(now, e.Step, &more)
+			final.Add(e)
+		case op.SendOrder:
+			if e.Order.Kind == platform.Stop && s.Admit.Leave(now, e.Order.Target) {
+				s.Members.Push(&more)
+			}
+			final.Add(e)
+		case op.Exchange:
+			e.Know = s.Know(now)
+			final.Add(e)
+		default:
+			final.Add(e)
+		}
+		list = append(more, list...)
+	}
+	return final
+}
--- /dev/null
+++ b/internal/decide/step.go
@@ -0,0 +1,51 @@
+package decide
+
+import (
+	"github.com/catkinhead/catkinhead/internal/op"
+	"github.com/catkinhead/catkinhead/pkg/clock"
+	"github.com/catkinhead/catkinhead/pkg/spec"
+)
+
+func (s *State) openStep(now clock.Millis, e op.OpenStep, out *op.List) {
+	route, why := s.route(e.Route)
+	var key spec.Key
+	if why == "" {
+		key, why = s.Config.Key(e.KeyHash, s.Fresh(now))
+	}
+	switch {
+	case why != "":
+	case !route.Allows(key.Workspace):
+		why = op.NotAllowed
+	case s.Config.Index.Pools[route.Pool].Kind != spec.Model:
+		why = op.WrongKind
+	}
+	if why != "" {
+		out.Add(op.StepOpened{Call: e.Call, Step: e.Step, Reason: why})
+		return
+	}
+	e.Step.Workspace = key.Workspace
+	s.Steps.Open(now, e, key.ID, route, out)
+}
+
+func (s *State) pullSamples(now clock.Millis, e op.PullSamples, out *op.List) {
+	key, why := s.Config.Key(e.KeyHash, s.Fresh(now))
+	if why != "" {
+		out.Add(op.Deliver{Call: e.Call, Step: e.Step, Reason: why})
+		return
+	}
+	e.Step.Workspace = key.Workspace
+	if st := s.Steps.Steps[e.Step]; st != nil {
+		st.KeyID = key.ID
+	}
+	s.Steps.Reduce(now, e, s.stepView(now), out)
+}
+
+func (s *State) closeStep(now clock.Millis, e op.CloseStep, out *op.List) {
+	key, why := s.Config.Key(e.KeyHash, s.Fresh(now))
+	if why != "" {
+		out.Add(op.StepEnded{Call: e.Call, Step: e.Step, Reason: why})
+		return
+	}
+	e.Step.Workspace = key.Workspace
+	s.Steps.Reduce(now, e, s.stepView(now), out)
+}
--- a/internal/op/effect.go
+++ b/internal/op/effect.go
@@ -33,13 +33,10 @@
 	Deadline     Reason = "DeadlineExceeded"
 	TargetFailed Reason = "TargetFailed"
 	NoConfig     Reason = "NoConfig"
-	Cancelled    Reason = "Cancelled"
 	NoStep       Reason = "NoStep"
 	StaleEpoch   Reason = "StaleEpoch"
 	StepClosed   Reason = "StepClosed"
-	StoreFailed  Reason = "StoreFailed"
 	BadReceipt   Reason = "BadReceipt"
-	OldVersion   Reason = "OldVersion"
 )
 
 // Dispatch sends a request to a target.
--- a/internal/op/event.go
+++ b/internal/op/event.go
@@ -48,8 +48,6 @@
 	Passed unit.Tokens
 	// Spans name the versions that produced a whole answer, in order.
 	Spans []Span
-	// Wall is the time of the end, in Unix milliseconds.
-	Wall clock.Millis
 }
 
 // LeaseRead ends ReadLease.
@@ -128,7 +126,6 @@
 	Staleness  unit.Version
 	TrainerAt  unit.Version
 	TrainerHas unit.Epoch
-	Wall       clock.Millis
 }
 
 // StepRead ends ReadStep.
@@ -157,7 +154,6 @@
 	Until        clock.Millis
 	TrainerAt    unit.Version
 	Max          int
-	Wall         clock.Millis
 }
 
 // CloseStep is a trainer's call.
@@ -167,7 +163,6 @@
 	Epoch        unit.Epoch
 	KeyHash      string
 	Acknowledged []int32
-	Wall         clock.Millis
 }
 
 // UsageKept ends KeepUsage.
--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -38,7 +38,6 @@
 	default:
 		err = p.runLive(ctx, d, &end)
 	}
-	end.Wall = p.clock.Wall()
 	end.OK, end.Outcome = err == nil, unit.Ran
 	if err == nil {
 		return end
--- a/internal/serve/http.go
+++ b/internal/serve/http.go
@@ -173,7 +173,7 @@
 		return http.StatusGatewayTimeout
 	case op.TargetFailed:
 		return http.StatusBadGateway
-	case op.StaleEpoch, op.StepClosed, op.OldVersion, op.BadReceipt:
+	case op.StaleEpoch, op.StepClosed, op.BadReceipt:
 		return http.StatusConflict
 	default:
 		return http.StatusServiceUnavailable
@@ -195,11 +195,8 @@
 	op.Deadline:     "the deadline passed",
 	op.TargetFailed: "the target failed",
 	op.NoConfig:     "this instance has no configuration yet; try another",
-	op.Cancelled:    "the request was cancelled",
 	op.NoStep:       "the step is not at home here; open it again",
 	op.StaleEpoch:   "the step has a newer home; open it again",
 	op.StepClosed:   "the step is closed",
-	op.StoreFailed:  "the platform's store failed",
 	op.BadReceipt:   "a receipt does not match its sample",
-	op.OldVersion:   "the configuration has changed since it was read",
 }
--- a/internal/serve/operator.go
+++ b/internal/serve/operator.go
@@ -17,6 +17,9 @@
 	"github.com/catkinhead/catkinhead/pkg/unit"
 )
 
+// operatorTime bounds an operator's change of the store.
+const operatorTime = 8 * time.Second
+
 // operatorServer answers operators.
 type operatorServer struct{ *Process }
 
--- a/internal/serve/plain.go
+++ b/internal/serve/plain.go
@@ -20,11 +20,14 @@
 	"github.com/catkinhead/catkinhead/pkg/unit"
 )
 
-// ticketHeader carries the ticket of a request that must run at most once.
-const ticketHeader = "Idempotency-Key"
-
-// liveCheck is the time between looks whether a peer still lives.
-const liveCheck = 250 * time.Millisecond
+const (
+	// ticketHeader carries the ticket of a request that must run at most once.
+	ticketHeader = "Idempotency-Key"
+	// forwardTime bounds a call passed to another instance.
+	forwardTime = 65 * time.Second
+	// liveCheck is the time between looks whether a peer still lives.
+	liveCheck = 250 * time.Millisecond
+)
 
 // plainRequest is a call to a plain service, as it came in.
 type plainRequest struct {
--- a/internal/serve/rollout.go
+++ b/internal/serve/rollout.go
@@ -21,10 +21,6 @@
 	maxSamples = 65_536
 	// maxWait bounds how long a pull may wait.
 	maxWait = 20 * time.Second
-	// forwardTime bounds a call passed to another instance.
-	forwardTime = 65 * time.Second
-	// operatorTime bounds an operator's change of the store.
-	operatorTime = 8 * time.Second
 )
 
 var stepForm = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$`)
@@ -51,7 +47,7 @@
 	p.loop.Post(op.OpenStep{
 		Call: n, Step: id, Route: unit.Route(r.Route), KeyHash: keyFrom(ctx),
 		Samples: shapes(r), Held: held, Staleness: unit.Version(r.Staleness),
-		TrainerAt: unit.Version(r.TrainerVersion), TrainerHas: unit.Epoch(r.Epoch), Wall: p.clock.Wall(),
+		TrainerAt: unit.Version(r.TrainerVersion), TrainerHas: unit.Epoch(r.Epoch),
 	})
 	e, err := await[op.StepOpened](ctx, ch)
 	if err != nil {
@@ -120,7 +116,7 @@
 	p.loop.Post(op.PullSamples{
 		Call: n, Step: id, Epoch: unit.Epoch(r.Epoch), KeyHash: keyFrom(ctx), Acknowledged: r.Acknowledged,
 		Until: p.clock.Now() + clock.Of(wait), TrainerAt: unit.Version(r.TrainerVersion),
-		Max: int(r.Max), Wall: p.clock.Wall(),
+		Max: int(r.Max),
 	})
 	e, err := await[op.Deliver](ctx, ch)
 	if err != nil {
@@ -142,7 +138,7 @@
 	n, ch := p.waiting.add()
 	p.loop.Post(op.CloseStep{
 		Call: n, Step: unit.StepID{Workspace: w, Name: r.Step}, Epoch: unit.Epoch(r.Epoch),
-		KeyHash: keyFrom(ctx), Acknowledged: r.Acknowledged, Wall: p.clock.Wall(),
+		KeyHash: keyFrom(ctx), Acknowledged: r.Acknowledged,
 	})
 	e, err := await[op.StepEnded](ctx, ch)
 	if err != nil {
@@ -203,7 +199,7 @@
 		code = twirp.NotFound
 	case op.WrongKind, op.BadReceipt:
 		code = twirp.InvalidArgument
-	case op.StaleEpoch, op.StepClosed, op.OldVersion:
+	case op.StaleEpoch, op.StepClosed:
 		code = twirp.FailedPrecondition
 	}
 	return twirp.NewError(code, meaning[why]).WithMeta("reason", string(why)).WithMeta("outcome", o.String())
--- a/internal/step/home.go
+++ b/internal/step/home.go
@@ -76,7 +76,7 @@
 	}
 	st.Record.Closed = e.Record.Closed || ours.Closed
 	st.billAll(v.Window)
-	s.save(now, st, v, out)
+	s.save(now, st, out)
 }
 
 // claim writes the record with the next epoch.
@@ -89,7 +89,7 @@
 	st.Epoch = max(r.Epoch, st.Opened.TrainerHas) + 1
 	st.Record = r
 	st.adopt(s.Self, v)
-	s.save(now, st, v, out)
+	s.save(now, st, out)
 }
 
 // adopt makes the record ours, with what the trainer holds on the bill.
@@ -113,7 +113,7 @@
 	})
 }
 
-func (s *State) save(now clock.Millis, st *Step, _ View, out *op.List) {
+func (s *State) save(now clock.Millis, st *Step, out *op.List) {
 	if !st.Known {
 		st.Saving = true
 		out.Add(op.ReadStep{Step: st.ID})
@@ -134,7 +134,7 @@
 	case op.Conflict:
 		st.Known, st.Dirty = false, true
 		st.Tries++
-		s.save(now, st, v, out)
+		s.save(now, st, out)
 	default:
 		st.Known, st.Dirty = false, true
 		s.storeFailed(now, st, v, out)
@@ -175,7 +175,7 @@
 	if st.Phase == Claiming {
 		st.Tries++
 		if st.Tries < claimTries && st.Known {
-			s.save(now, st, v, out)
+			s.save(now, st, out)
 			return
 		}
 		st.Epoch = max(st.Epoch, st.Opened.TrainerHas+1)
@@ -204,7 +204,7 @@
 	st.EndCall = e.Call
 	st.Dirty = true
 	if !st.Saving {
-		s.save(now, st, v, out)
+		s.save(now, st, out)
 	}
 }
 
@@ -251,7 +251,7 @@
 		st.Dirty = true
 		return
 	}
-	s.save(now, st, v, out)
+	s.save(now, st, out)
 }
 
 func (st *Step) requestID(i int32) unit.Request {
--- a/internal/step/step.go
+++ b/internal/step/step.go
@@ -157,7 +157,7 @@
 	st.undelay(now)
 	s.submit(st, out)
 	if st.Dirty && !st.Saving && now >= st.SaveAt {
-		s.save(now, st, v, out)
+		s.save(now, st, out)
 	}
 	if st.Phase == Open && now-st.CalledAt >= idleFor && !st.Dirty {
 		s.drop(st, out)
--- /dev/null
+++ b/internal/ticket/ticket_test.go
@@ -0,0 +1,97 @@
+package ticket
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/catkinhead/catkinhead/pkg/clock"
+	"github.com/catkinhead/catkinhead/pkg/unit"
+)
+
+func newBook(c clock.Clock) *Book {
+	return &Book{Self: "i1#1", Secret: []byte("secret"), Clock: c}
+}
+
+func TestUse(t *testing.T) {
+	tests := map[string]struct {
+		first unit.Outcome
+		runs  int
+	}{
+		"ran":     {unit.Ran, 1},
+		"unknown": {unit.Unknown, 1},
+		"not run": {unit.NotRun, 3},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newBook(&clock.Manual{})
+			tk, err := b.Issue("w")
+			if err != nil {
+				t.Fatal(err)
+			}
+			runs := 0
+			for range 3 {
+				r, err := b.Use(context.Background(), tk, func() Result {
+					runs++
+					return Result{Outcome: tc.first}
+				})
+				if err != nil || r.Outcome != tc.first {
+					t.Fatalf("%v %v", r, err)
+				}
+			}
+			if runs != tc.runs {
+				t.Fatalf("ran %d times, want %d", runs, tc.runs)
+			}
+		})
+	}
+}
+
+func TestSecondWaitsForFirst(t *testing.T) {
+	b := newBook(&clock.Manual{})
+	tk, _ := b.Issue("w")
+	begun, goOn, second := make(chan bool), make(chan bool), make(chan Result)
+	go func() {
+		_, _ = b.Use(context.Background(), tk, func() Result {
+			close(begun)
+			<-goOn
+			return Result{Status: 7, Outcome: unit.Ran}
+		})
+	}()
+	<-begun
+	go func() {
+		r, _ := b.Use(context.Background(), tk, func() Result {
+			t.Error("ran twice")
+			return Result{}
+		})
+		second <- r
+	}()
+	close(goOn)
+	if r := <-second; r.Status != 7 {
+		t.Fatalf("got %+v", r)
+	}
+}
+
+func TestForgottenTicketIsGone(t *testing.T) {
+	c := &clock.Manual{}
+	b := newBook(c)
+	tk, _ := b.Issue("w")
+	c.Advance(keepFor)
+	_, err := b.Use(context.Background(), tk, func() Result { return Result{} })
+	if !errors.Is(err, ErrGone) {
+		t.Fatalf("got %v", err)
+	}
+}
+
+func FuzzIssuer(f *testing.F) {
+	b := newBook(&clock.Manual{})
+	good, _ := b.Issue("w")
+	f.Add(good)
+	f.Add("i1#1~1~")
+	f.Fuzz(func(t *testing.T, text string) {
+		i, err := b.Issuer(text, "w")
+		if err == nil && (text != good && !strings.HasPrefix(text, "i1#1~") || i != "i1#1") {
+			t.Fatalf("took %q from %q", text, i)
+		}
+	})
+}
