scenario: cut links between instances one way, while the store is down

An instance that nobody reaches hears of a withdrawal by its own exchanges; one that reaches nobody acts on no key. Red when the calls of others count for the majority: 'stream b did not end within 5s'.

--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -47,7 +47,7 @@
 			"launch": cmdLaunch, "signal": cmdSignal, "exited": cmdExited, "await": cmdAwait, "logged": cmdLogged,
 			"fault": cmdFault, "call": cmdCall, "post": cmdPost, "holder": cmdHolder, "passed": cmdPassed, "mark": cmdMark,
 			"in-charge": cmdInCharge, "usage": cmdUsage, "ran": cmdRan, "unseen": cmdUnseen, "samples": cmdSamples,
-			"stream": cmdStream, "streamed": cmdStreamed, "quiet": cmdQuiet, "storecalls": cmdStoreCalls, "crashes": cmdCrashes, "lines": cmdLines,
+			"stream": cmdStream, "streamed": cmdStreamed, "quiet": cmdQuiet, "storecalls": cmdStoreCalls, "crashes": cmdCrashes, "lines": cmdLines, "link": cmdLink, "cut": cmdCut,
 			"ordered": cmdOrdered, "deciding": cmdDeciding, "equal": cmdEqual, "ready": cmdReady, "await-call": cmdAwaitCall,
 			"sleep": cmdSleep, "stored": cmdStored, "one-of": cmdOneOf, "leave": cmdLeave, "loaded": cmdLoaded,
 			"balancer": cmdBalancer, "whole": cmdWhole, "running": cmdRunning, "edit-anywhere": cmdEditAnywhere, "everywhere": cmdEverywhere,
@@ -63,6 +63,7 @@
 	address map[string]string
 	order   []string
 	streams map[string]chan string
+	links   map[string]*link
 	marks   map[string]time.Time
 	dir     string
 	env     []string
@@ -78,7 +79,7 @@
 	slots <- struct{}{}
 	w := &world{
 		procs: make(map[string]*process), address: make(map[string]string),
-		streams: make(map[string]chan string), marks: make(map[string]time.Time), dir: e.WorkDir,
+		streams: make(map[string]chan string), links: make(map[string]*link), marks: make(map[string]time.Time), dir: e.WorkDir,
 	}
 	e.Values["world"] = w
 	e.Vars = append(e.Vars,
@@ -207,11 +208,15 @@
 		w.order = append(w.order, name)
 	}
 	w.address[name] = a
+	reach := a
+	if l := w.links[name]; l != nil {
+		reach = l.begin(ts, a)
+	}
 	w.send(ts, w.url+"/instances", platform.InstanceState{
-		Instance: unit.Instance(name), DataCentre: unit.DataCentre(args[1]), Address: a,
+		Instance: unit.Instance(name), DataCentre: unit.DataCentre(args[1]), Address: reach,
 	})
 	w.start(ts, name, "catkinhead", append([]string{
-		"serve", "--instance", name, "--data-centre", args[1], "--listen", a, "--platform", w.url,
+		"serve", "--instance", name, "--data-centre", args[1], "--listen", a, "--advertise", reach, "--platform", w.url,
 	}, args[2:]...)...)
 	ts.Setenv(name, a)
 	ts.Setenv("CATKINHEAD_ADDRESS", w.address[w.order[0]])
