--- a/pkg/platform/wire/wire_test.go
+++ b/pkg/platform/wire/wire_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -148,3 +149,20 @@
 		}
 	})
 }
+
+// BenchmarkReadChunks reads an answer of 360 tokens, one a chunk.
+func BenchmarkReadChunks(b *testing.B) {
+	var in strings.Builder
+	const tokens = 360
+	for i := range tokens {
+		fmt.Fprintf(&in, `{"Request":"entry-0001#00001796364128671673!77.1","Index":%d,"Text":"w1a2 ","Tokens":1,"Version":7,"End":%v}`+"\n", i, i == tokens-1)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		err := readChunks(context.Background(), strings.NewReader(in.String()), "entry-0001#00001796364128671673!77.1", func(platform.Chunk) error { return nil })
+		if err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/tokens, "ns/token")
+}
