admit: let samples keep a backlog of one batch in the engine

Cause: with the limit of live requests, what one instance left free as its step ended was seen by the others only with the next report, up to 500 ms later; policies without a limit keep a backlog and do not feel that. Change: the limit is one batch higher for samples, and for live requests where samples run, which then come next.

--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -6,6 +6,8 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
+	"strings"
 
 	"github.com/integrii/flaggy"
 
@@ -15,10 +17,11 @@
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
-	seeds := 5
+	seeds, only := 5, ""
 	p := flaggy.NewParser("experiment")
 	p.Description = "Compares the admission policies on stand-in engines; a run takes about ten seconds a seed, policy and workload."
 	p.Int(&seeds, "s", "seeds", "number of seeds")
+	p.String(&only, "w", "workload", "only this workload: "+strings.Join(experiment.Workloads(), " or "))
 	if err := p.ParseArgs(args); err != nil || seeds < 1 {
 		fmt.Fprintln(os.Stderr, "error: --seeds is 1 or more", err)
 		return 2
@@ -30,7 +33,15 @@
 	policies := []string{"round-robin", "least-loaded", "first-come", "fair"}
 	by := make(map[string][]experiment.Outcome)
 	var order []string
-	err := experiment.Run(context.Background(), policies, list, func(o experiment.Outcome) {
+	names := experiment.Workloads()
+	if only != "" {
+		if !slices.Contains(names, only) {
+			fmt.Fprintf(os.Stderr, "error: no workload %q\n", only)
+			return 2
+		}
+		names = []string{only}
+	}
+	err := experiment.Run(context.Background(), names, policies, list, func(o experiment.Outcome) {
 		k := o.Workload + "/" + o.Policy
 		if by[k] == nil {
 			order = append(order, k)
--- a/internal/admit/pick.go
+++ b/internal/admit/pick.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 
+	"github.com/catkinhead/catkinhead/internal/op"
 	"github.com/catkinhead/catkinhead/pkg/clock"
 	"github.com/catkinhead/catkinhead/pkg/unit"
 )
@@ -77,7 +78,7 @@
 // room tells whether any target can take a run.
 func (s *State) room(now clock.Millis, p *Pool) bool {
 	for _, t := range p.Targets {
-		if t.open(now) && t.InFlight < s.limit(t) {
+		if t.open(now) && t.InFlight < s.limit(t, op.Trainer) {
 			return true
 		}
 	}
@@ -94,7 +95,7 @@
 
 // fits tells whether a target may take a run now.
 func (s *State) fits(now clock.Millis, t *Target, run *Run) bool {
-	if !t.open(now) || t.InFlight >= s.limit(t) {
+	if !t.open(now) || t.InFlight >= s.limit(t, run.Class) {
 		return false
 	}
 	if run.Suspect && t.Suspects > 0 {
--- a/internal/admit/policy.go
+++ b/internal/admit/policy.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 
+	"github.com/catkinhead/catkinhead/internal/op"
 	"github.com/catkinhead/catkinhead/pkg/clock"
 )
 
@@ -116,10 +117,17 @@
 	return p.Sharing
 }
 
-// limit is how many runs this instance may have on a target.
-func (s *State) limit(t *Target) int {
+// limit is how many runs this instance may have on a target before it sends
+// another of a class. Samples may keep a backlog in the engine, since nobody
+// waits for a single one; live requests come ahead of further samples, behind
+// that backlog.
+func (s *State) limit(t *Target, c op.Class) int {
 	if s.Policy.Unlimited {
 		return math.MaxInt
 	}
-	return t.allowed(s.sharers(t.Pool))
+	n := t.allowed(s.sharers(t.Pool))
+	if c == op.Trainer || t.Samples > 0 {
+		n += t.Load.Slots
+	}
+	return n
 }
--- a/internal/admit/target.go
+++ b/internal/admit/target.go
@@ -44,8 +44,9 @@
 	Others int
 	// Limit is what the newest report allows this instance.
 	Limit int
-	// InFlight counts our own runs, Suspects those that are suspects.
+	// InFlight counts our own runs, Samples and Suspects those among them.
 	InFlight int
+	Samples  int
 	Suspects int
 	// Leaving closes admission. It never opens again.
 	Leaving   bool
@@ -232,6 +233,9 @@
 
 func (t *Target) attach(run *Run) {
 	t.InFlight++
+	if run.Class == op.Trainer {
+		t.Samples++
+	}
 	if run.Suspect {
 		t.Suspects++
 	}
@@ -239,6 +243,9 @@
 
 func (t *Target) detach(run *Run) {
 	t.InFlight--
+	if run.Class == op.Trainer {
+		t.Samples--
+	}
 	if run.Suspect {
 		t.Suspects--
 	}
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -8,6 +8,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"time"
 
@@ -84,9 +85,12 @@
 	}
 }
 
-// Run compares policies on seeds and hands each outcome to note.
-func Run(ctx context.Context, policies []string, seeds []uint64, note func(Outcome)) error {
-	for _, name := range []string{"hot workspace", "groups with stragglers"} {
+// Workloads are the names of all workloads.
+func Workloads() []string { return slices.Sorted(maps.Keys(workloads)) }
+
+// Run compares policies on workloads and seeds and hands each outcome to note.
+func Run(ctx context.Context, names, policies []string, seeds []uint64, note func(Outcome)) error {
+	for _, name := range names {
 		for _, seed := range seeds {
 			for _, policy := range policies {
 				o, err := once(ctx, policy, workloads[name], seed)
