--- a/internal/serve/dump.go
+++ b/internal/serve/dump.go
@@ -65,7 +65,7 @@
 	gauge("catkinhead_store_age_seconds", func(now clock.Millis, s *decide.State) float64 {
 		return s.Config.Age(now).Duration().Seconds()
 	})
-	gauge("catkinhead_members_live", func(now clock.Millis, s *decide.State) float64 { return float64(len(s.Members.Live())) })
+	gauge("catkinhead_members_live", func(_ clock.Millis, s *decide.State) float64 { return float64(len(s.Members.Live())) })
 	gauge("catkinhead_requests", func(_ clock.Millis, s *decide.State) float64 { return float64(len(s.Admit.Runs)) })
 	gauge("catkinhead_steps", func(_ clock.Millis, s *decide.State) float64 { return float64(len(s.Steps.Steps)) })
 	gauge("catkinhead_admitted_total", func(_ clock.Millis, s *decide.State) float64 { return float64(s.Admit.Counts.Admitted) })
--- a/internal/serve/report.go
+++ b/internal/serve/report.go
@@ -98,7 +98,7 @@
 // as long as they live.
 func (p *Process) keepers(source string) []op.MemberInfo {
 	var out []op.MemberInfo
-	p.loop.Ask(func(now clock.Millis, s *decide.State) {
+	p.loop.Ask(func(_ clock.Millis, s *decide.State) {
 		out = s.Members.Nearest(source, keepTries)
 	})
 	return out
@@ -135,7 +135,7 @@
 
 func (p *Process) gatherPeers(ctx context.Context) []op.Counters {
 	var members []op.MemberInfo
-	p.loop.Ask(func(now clock.Millis, s *decide.State) { members = s.Members.Live() })
+	p.loop.Ask(func(_ clock.Millis, s *decide.State) { members = s.Members.Live() })
 	answers := make(chan []op.Counters)
 	for _, m := range members {
 		go func() {
--- a/internal/step/home.go
+++ b/internal/step/home.go
@@ -130,7 +130,7 @@
 	switch e.Result {
 	case op.Done:
 		st.Revision = e.Revision
-		s.recorded(now, st, v, out)
+		s.recorded(now, st, out)
 	case op.Conflict:
 		st.Known, st.Dirty = false, true
 		st.Tries++
@@ -142,10 +142,10 @@
 }
 
 // recorded goes on once the store holds the record.
-func (s *State) recorded(now clock.Millis, st *Step, v View, out *op.List) {
+func (s *State) recorded(now clock.Millis, st *Step, out *op.List) {
 	switch {
 	case st.Phase == Claiming:
-		s.serve(now, st, v, out)
+		s.serve(now, st, out)
 	case st.Dirty:
 	case st.Phase == Closing:
 		s.endCalls(st, true, out)
@@ -156,11 +156,11 @@
 }
 
 // serve opens the step.
-func (s *State) serve(now clock.Millis, st *Step, v View, out *op.List) {
+func (s *State) serve(now clock.Millis, st *Step, out *op.List) {
 	st.Phase = Open
 	out.Add(op.StepOpened{Call: st.OpenCall, Step: st.ID, Epoch: st.Epoch})
 	if s.Draining {
-		s.handOver(now, st, v, out)
+		s.handOver(now, st, out)
 		return
 	}
 	s.submit(st, out)
@@ -180,7 +180,7 @@
 		}
 		st.Epoch = max(st.Epoch, st.Opened.TrainerHas+1)
 		st.adopt(s.Self, v)
-		s.serve(now, st, v, out)
+		s.serve(now, st, out)
 	}
 	if len(st.Record.Usage.Workspaces) > 0 {
 		out.Add(op.KeepUsage{Counters: usage.Clone(st.Record.Usage)})
@@ -236,16 +236,16 @@
 
 // drain hands every step over: trainers open them elsewhere with what they
 // hold.
-func (s *State) drain(now clock.Millis, v View, out *op.List) {
+func (s *State) drain(now clock.Millis, out *op.List) {
 	s.Draining = true
 	for _, id := range slices.SortedFunc(maps.Keys(s.Steps), compareIDs) {
 		if st := s.Steps[id]; st.Phase == Open {
-			s.handOver(now, st, v, out)
+			s.handOver(now, st, out)
 		}
 	}
 }
 
-func (s *State) handOver(now clock.Millis, st *Step, v View, out *op.List) {
+func (s *State) handOver(now clock.Millis, st *Step, out *op.List) {
 	s.release(st, op.Draining, out)
 	if st.Saving {
 		st.Dirty = true
--- a/internal/step/step.go
+++ b/internal/step/step.go
@@ -148,7 +148,7 @@
 	case op.CloseStep:
 		s.close(now, e, v, out)
 	case op.Drain:
-		s.drain(now, v, out)
+		s.drain(now, out)
 	}
 }
 
