--- a/internal/serve/completion.go
+++ b/internal/serve/completion.go
@@ -259,33 +259,14 @@
 // streamAnswer writes chunks as they come. The last one, which makes the
 // answer whole, comes only once the request has ended well.
 func (p *Process) streamAnswer(c *gin.Context, x *call, f form, r chatRequest) {
-	begun := false
-	send := func(v any) {
-		if !begun {
-			begun = true
-			c.Header("Content-Type", "text/event-stream")
-			c.Header("Cache-Control", "no-cache")
-			c.Status(http.StatusOK)
-		}
-		b, _ := json.Marshal(v)
-		_, _ = fmt.Fprintf(c.Writer, "data: %s\n\n", b)
-		c.Writer.Flush()
-	}
-	piece := func(text string) {
-		out := f.shell(x, r.Model, f.chunk)
-		role := ""
-		if !begun {
-			role = "assistant"
-		}
-		out.Choices = []choice{f.delta(text, role, nil)}
-		send(out)
-	}
+	s := &stream{c: c, x: x, form: f, model: r.Model}
+	s.wantUsage = r.StreamOptions != nil && r.StreamOptions.IncludeUsage
 	for {
 		select {
 		case text := <-x.chunks:
-			piece(text)
+			s.piece(text)
 		case e := <-x.ends:
-			p.endStream(c, x, f, r, e, begun, piece, send)
+			s.end(e)
 			return
 		case <-c.Request.Context().Done():
 			p.loop.Post(op.CallerGone{Request: x.id, Passed: x.taken()})
@@ -294,36 +275,6 @@
 	}
 }
 
-func (p *Process) endStream(c *gin.Context, x *call, f form, r chatRequest, e ending, begun bool, piece func(string), send func(any)) {
-	for len(x.chunks) > 0 {
-		piece(<-x.chunks)
-		begun = true
-	}
-	if e.refusal != nil {
-		if !begun {
-			refused(c, *e.refusal)
-			return
-		}
-		r := e.refusal
-		send(errorOf(string(r.Reason), r.Outcome, meaning[r.Reason]+"; the answer is not whole"))
-		return
-	}
-	a := x.get()
-	piece(a.text)
-	stop := "stop"
-	out := f.shell(x, r.Model, f.chunk)
-	out.Choices = []choice{f.delta("", "", &stop)}
-	out.WeightVersions = weights(a.spans)
-	send(out)
-	if r.StreamOptions != nil && r.StreamOptions.IncludeUsage {
-		last := f.shell(x, r.Model, f.chunk)
-		last.Choices, last.Usage = []choice{}, usageOf(a)
-		send(last)
-	}
-	_, _ = fmt.Fprint(c.Writer, "data: [DONE]\n\n")
-	c.Writer.Flush()
-}
-
 func (f form) shell(x *call, model, object string) completion {
 	return completion{ID: "cmpl-" + string(x.id), Object: object, Created: time.Now().Unix(), Model: model}
 }
--- a/internal/serve/process.go
+++ b/internal/serve/process.go
@@ -67,9 +67,7 @@
 	trace    *os.File
 	cacheMu  sync.Mutex
 	// cached is the newest revision on disk.
-	cached unit.Revision
-	// drained is closed once the planned stop has begun.
-	drained   chan struct{}
+	cached    unit.Revision
 	drainOnce sync.Once
 }
 
@@ -92,7 +90,6 @@
 		calls:    newCalls(), steps: newSteps(),
 		tickets: &ticket.Book{Self: self.Incarnation, Secret: []byte(set.FleetSecret), Clock: c},
 		peers:   newPeers(set.FleetSecret),
-		drained: make(chan struct{}),
 	}
 	window := clock.Of(set.Window)
 	rec, err := p.recorder(window)
@@ -141,14 +138,10 @@
 func (p *Process) Drain() {
 	p.drainOnce.Do(func() {
 		p.log.Info("planned stop begins")
-		close(p.drained)
 		p.loop.Post(op.Drain{})
 	})
 }
 
-// Drained is closed once the planned stop has begun.
-func (p *Process) Drained() <-chan struct{} { return p.drained }
-
 // AwaitIdle waits until nothing is left to finish, or ctx ends; it returns
 // whether nothing was left.
 func (p *Process) AwaitIdle(ctx context.Context) bool {
