config: leave the storing of withdrawals to relays at first

Cause: every instance that holds a withdrawal which the store lacks tried to store it each second, so a large fleet would write all at once as an outage ends (1,600 tries a second against several hundred writes). Found in reading; TestWhoStores was red for instances that are no relays. Change: relays store at once, others only what stays pending for 10 s; the instance that the operator called stores by itself as before.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -20,6 +20,8 @@
 	fallbackAfter clock.Millis = 2 * clock.Second
 	// storeEvery is the time between tries to store withdrawals.
 	storeEvery clock.Millis = clock.Second
+	// othersStoreAfter is how long a withdrawal is left to relays.
+	othersStoreAfter clock.Millis = 10 * clock.Second
 )
 
 // State is the operators' state in force. The zero value has none.
@@ -38,6 +40,8 @@
 	Watching bool
 	Storing  bool
 	StoreAt  clock.Millis
+	// PendingAt is when there was last nothing pending.
+	PendingAt clock.Millis
 	// Heard is the highest revision that a peer told of.
 	Heard unit.Revision
 	// Started is set once the state was shown to be current, after which an
@@ -73,6 +77,9 @@
 	case op.PeerHeard:
 		return s.heard(e, out)
 	case op.Withdraw:
+		if len(s.Pending) == 0 {
+			s.PendingAt = now
+		}
 		return s.withdraw([]unit.KeyID{e.Key}, true)
 	case op.WithdrawalsStored:
 		s.Storing = false
@@ -89,7 +96,11 @@
 	if (relay || silent) && now >= s.ReadAt {
 		s.readStore(now, out)
 	}
-	if len(s.Pending) > 0 && !s.Storing && now >= s.StoreAt {
+	if len(s.Pending) == 0 {
+		s.PendingAt = now
+	}
+	due := relay || now-s.PendingAt >= othersStoreAfter
+	if len(s.Pending) > 0 && due && !s.Storing && now >= s.StoreAt {
 		s.Storing = true
 		s.StoreAt = now + storeEvery
 		out.Add(op.StoreWithdrawals{Keys: s.PendingKeys()})
