serve: count instances that are listed and not known yet as lagging

Cause: an accepted change was said to be everywhere as soon as every known instance had it, and an instance that had just started was not known yet. Ruled out: the spread of the change itself (i3 had it within the 5 s).

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 
@@ -288,17 +289,19 @@
 	return out
 }
 
-// Lagging returns the live members not known to have a configuration.
-func (s *State) Lagging(now clock.Millis, version int64) []unit.Instance {
-	var out []unit.Instance
-	for _, name := range s.Roster.Names {
-		m := s.Members[name]
-		if m == nil || !s.live(now, m) {
-			continue
+// Lagging returns the live members not known to have a configuration, and
+// those listed that are not known at all yet.
+func (s *State) Lagging(now clock.Millis, version int64, listed []unit.Instance) []unit.Instance {
+	set := make(map[unit.Instance]bool)
+	for _, name := range listed {
+		if s.Members[name] == nil && name != NameOf(s.Self.Incarnation) {
+			set[name] = true
 		}
-		if m.ConfigVersion < version {
-			out = append(out, name)
+	}
+	for name, m := range s.Members {
+		if s.live(now, m) && m.ConfigVersion < version {
+			set[name] = true
 		}
 	}
-	return out
+	return slices.Sorted(maps.Keys(set))
 }
--- a/internal/serve/operator.go
+++ b/internal/serve/operator.go
@@ -47,11 +47,19 @@
 
 // lagging asks for who is behind until nobody is or time runs out.
 func (p *Process) lagging(ctx context.Context, version int64) []string {
+	var listed []unit.Instance
+	// Without the list, the members known are all that can be asked for.
+	states, _ := p.out.Instances.Instances(ctx)
+	for _, x := range states {
+		if !x.Leaving {
+			listed = append(listed, x.Instance)
+		}
+	}
 	for {
 		var behind []unit.Instance
 		own := false
 		p.loop.Ask(func(now clock.Millis, s *decide.State) {
-			behind = s.Members.Lagging(now, version)
+			behind = s.Members.Lagging(now, version, listed)
 			own = s.Config.State.ConfigVersion >= version
 		})
 		if own && len(behind) == 0 {
