config: read a failing store less and less often, each at its own time

Cause: without relays each instance read the store each second through an outage, all at the same time since they fell silent together. Found in reading; TestOutageReads was red: 1.00 reads a second and instance, 200 of 200 at once. Change: an instance that is no relay doubles its pause up to 8 s after failures, half of it drawn from its name. After: 0.19 reads a second and instance, at most 10 of 200 at once.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -18,6 +18,8 @@
 	// fallbackAfter is the age at which an instance that is no relay reads the
 	// store itself.
 	fallbackAfter clock.Millis = 2 * clock.Second
+	// maxDoublings bounds the pause after failed reads to eight times the first.
+	maxDoublings = 3
 	// storeEvery is the time between tries to store withdrawals.
 	storeEvery clock.Millis = clock.Second
 	// othersStoreAfter is how long a withdrawal is left to relays.
@@ -35,6 +37,10 @@
 	// AnchorAt is the time whose state of the store is included here.
 	AnchorAt clock.Millis
 	Anchored bool
+	// Seed spreads the reads of different instances; Fails counts reads that
+	// failed one after another.
+	Seed     uint64
+	Fails    int
 	Reading  bool
 	ReadAt   clock.Millis
 	Watching bool
@@ -67,6 +73,7 @@
 	case op.Tick:
 		s.tick(now, relay, out)
 	case op.StateRead:
+		s.pace(now, e, relay)
 		return s.read(e, out)
 	case op.StateChanged:
 		s.Watching = false
@@ -116,6 +123,22 @@
 	out.Add(op.ReadState{Have: s.Revision})
 }
 
+// pace makes an instance that is no relay read a store that fails less and
+// less often, each at its own time, so that the fleet does not come back all
+// at once.
+func (s *State) pace(now clock.Millis, e op.StateRead, relay bool) {
+	switch {
+	case e.FromPeer:
+	case e.Result == op.Done || relay:
+		s.Fails = 0
+	default:
+		s.Fails++
+		longest := relayEvery << min(s.Fails, maxDoublings)
+		s.Seed = s.Seed*6364136223846793005 + 1442695040888963407
+		s.ReadAt = now + longest/2 + clock.Millis(s.Seed>>33)%(longest/2)
+	}
+}
+
 func (s *State) read(e op.StateRead, out *op.List) Change {
 	if !e.FromPeer {
 		s.Reading = false
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -50,3 +50,39 @@
 		t.Fatal("a withdrawal was lost with a state that does not hold it")
 	}
 }
+
+// TestOutageReads counts the reads of a fleet through a minute without the
+// store, and how many fall into the same 100 ms at its end.
+func TestOutageReads(t *testing.T) {
+	const fleet, minute = 200, 600
+	reads, most := 0, 0
+	states := make([]State, fleet)
+	for i := range states {
+		states[i].Seed = uint64(i) * 0x9e3779b97f4a7c15
+	}
+	for tick := range minute {
+		now := clock.Millis(tick) * 100
+		at := 0
+		for i := range states {
+			var out op.List
+			states[i].Reduce(now, op.Tick{}, false, &out)
+			for _, e := range out {
+				if _, ok := e.(op.ReadState); ok {
+					at++
+					states[i].Reduce(now, op.StateRead{Result: op.Lost}, false, &out)
+				}
+			}
+		}
+		reads += at
+		if tick > minute/2 {
+			most = max(most, at)
+		}
+	}
+	t.Logf("%.2f reads a second and instance, at most %d of %d at once", float64(reads)/60/fleet, most, fleet)
+	if reads > fleet*60/4 {
+		t.Errorf("%d reads in a minute; %d are allowed", reads, fleet*60/4)
+	}
+	if most > fleet/10 {
+		t.Errorf("%d of %d read at once", most, fleet)
+	}
+}
--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/catkinhead/catkinhead/internal/admit"
 	"github.com/catkinhead/catkinhead/internal/config"
 	"github.com/catkinhead/catkinhead/internal/fleet"
@@ -52,6 +54,7 @@
 	name := member.NameOf(self.Incarnation)
 	return &State{
 		Members: member.State{Self: self},
+		Config:  config.State{Seed: xxhash.Sum64String(string(self.Incarnation))},
 		Leases:  lease.State{Self: self.Incarnation},
 		Admit:   admit.New(name),
 		Steps:   step.State{Self: self.Incarnation},
