cli: load several workspaces; scenario: log how late windows are reported

load takes the keys of several workspaces from CATKINHEAD_KEYS, with a share for a hot one, and prints the share of time in which trainers wait. The stand-in notes when each window was accepted.

--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -17,9 +18,9 @@
 		Route: "draft", Seed: 1, Rate: 20, Duration: 10 * time.Second, Tokens: 32, Samples: 64,
 		StragglerShare: 0.05, StragglerTimes: 8,
 	}
-	addresses, trainers := "127.0.0.1:8080", 0
+	addresses, trainers, hot := "127.0.0.1:8080", 0, 0.0
 	return command{
-		name: "load", help: "send a bounded load to instances on loopback and print latency and idle time; the key comes from CATKINHEAD_KEY",
+		name: "load", help: "send a bounded load to instances on loopback and print latency and idle time; the key comes from CATKINHEAD_KEY, or those of several workspaces from CATKINHEAD_KEYS as name=key with commas",
 		flags: func(s *flaggy.Subcommand) {
 			s.String(&addresses, "a", "addresses", "host:port of instances, with commas")
 			s.String(&p.Route, "r", "route", "the model route")
@@ -29,15 +30,14 @@
 			s.Int(&p.Tokens, "t", "tokens", "length of an answer")
 			s.Int(&p.Samples, "s", "samples", "samples in a step")
 			s.Int(&trainers, "", "trainers", "trainers that run steps")
+			s.Float64(&hot, "", "hot-share", "part of the live requests that the first workspace sends; 0 is an equal part")
 			s.Float64(&p.StragglerShare, "", "straggler-share", "part of the samples that are stragglers")
 			s.Int(&p.StragglerTimes, "", "straggler-times", "how much longer a straggler is")
 		},
 		run: func(ctx context.Context) error {
-			key := os.Getenv("CATKINHEAD_KEY")
 			p.Addresses = splitList(addresses)
-			p.Keys = []load.Share{{Name: "live", Key: key, Part: 1}}
-			for range trainers {
-				p.TrainerKeys = append(p.TrainerKeys, key)
+			if err := loadKeys(&p, trainers, hot); err != nil {
+				return err
 			}
 			p.Name = "load-" + strconv.FormatInt(time.Now().UnixMicro(), 36)
 			if err := p.Check(); err != nil {
@@ -52,6 +52,29 @@
 	}
 }
 
+// loadKeys gives the workspaces their parts of the load, and the trainers their
+// keys in turn.
+func loadKeys(p *load.Profile, trainers int, hot float64) error {
+	p.Keys = []load.Share{{Name: "live", Key: os.Getenv("CATKINHEAD_KEY"), Part: 1}}
+	if list := splitList(os.Getenv("CATKINHEAD_KEYS")); len(list) > 0 {
+		p.Keys = nil
+		for _, x := range list {
+			name, key, ok := strings.Cut(x, "=")
+			if !ok {
+				return &usageError{"CATKINHEAD_KEYS has an entry that is not name=key"}
+			}
+			p.Keys = append(p.Keys, load.Share{Name: name, Key: key, Part: 1})
+		}
+	}
+	if others := float64(len(p.Keys) - 1); hot > 0 && hot < 1 && others > 0 {
+		p.Keys[0].Part = hot * others / (1 - hot)
+	}
+	for i := range trainers {
+		p.TrainerKeys = append(p.TrainerKeys, p.Keys[i%len(p.Keys)].Key)
+	}
+	return nil
+}
+
 func (g *program) printLoad(r load.Result) error {
 	var rows [][]string
 	row := func(name string, q load.Quantiles) {
@@ -67,5 +90,6 @@
 	for status, n := range r.Refused {
 		rows = append(rows, []string{"refused: " + status, strconv.Itoa(n), "", "", "", ""})
 	}
+	rows = append(rows, []string{"trainers' idle share", fmt.Sprintf("%.3f", r.IdleShare), "", "", "", ""})
 	return g.print(r, []string{"What", "Count", "P50Millis", "P90Millis", "P99Millis", "MaxMillis"}, rows)
 }
--- a/internal/scenario/check_test.go
+++ b/internal/scenario/check_test.go
@@ -128,6 +128,23 @@
 		}
 		return got == want
 	})
+	logLateness(ts, w.stats(ts))
+}
+
+// logLateness logs how long after its end each window was accepted, at the
+// most and in the median. Windows are those of the scripts' settings, 2 s long.
+func logLateness(ts *testscript.TestScript, s standin.PlatformStats) {
+	const length = 2000
+	var late []int64
+	for name, at := range s.WindowAt {
+		n, err := strconv.ParseInt(name, 10, 64)
+		ts.Check(err)
+		late = append(late, at-(n+1)*length)
+	}
+	slices.Sort(late)
+	if len(late) > 0 {
+		ts.Logf("%d windows, lateness in ms: median %d, highest %d", len(late), late[len(late)/2], late[len(late)-1])
+	}
 }
 
 func reported(ts *testscript.TestScript, s standin.PlatformStats, workspace string) int64 {
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -39,6 +39,7 @@
 	byOrderID map[string]bool
 	highest   map[unit.DataCentre]unit.Fence
 	windows   map[string]json.RawMessage
+	windowAt  map[string]int64
 	different int
 	calls     int64
 	byCaller  map[string]int64
@@ -67,6 +68,8 @@
 	Orders []OrderRecord
 	// Windows holds the bytes accepted, by window number.
 	Windows map[string]json.RawMessage
+	// WindowAt is when each window was first accepted, in Unix milliseconds.
+	WindowAt map[string]int64
 	// Different counts reports that differed from the bytes accepted.
 	Different int
 	// StoreCalls counts calls to the object API.
@@ -103,6 +106,7 @@
 	s := PlatformStats{
 		Orders:    append([]OrderRecord{}, p.orders...),
 		Windows:   make(map[string]json.RawMessage),
+		WindowAt:  copyMap(p.windowAt),
 		Different: p.different, StoreCalls: p.calls,
 		ByCaller: make(map[string]int64),
 		Targets:  append([]platform.TargetState{}, p.targets...),
@@ -351,6 +355,7 @@
 	defer p.mu.Unlock()
 	if p.windows == nil {
 		p.windows = make(map[string]json.RawMessage)
+		p.windowAt = make(map[string]int64)
 	}
 	old, ok := p.windows[key]
 	if ok && !bytes.Equal(old, body) {
@@ -358,6 +363,9 @@
 		http.Error(w, "window holds other figures", http.StatusUnprocessableEntity)
 		return
 	}
+	if !ok {
+		p.windowAt[key] = time.Now().UnixMilli()
+	}
 	p.windows[key] = body
 	reply(w, struct{}{})
 }
