--- a/internal/serve/peer_client.go
+++ b/internal/serve/peer_client.go
@@ -9,6 +9,7 @@
 
 	"github.com/twitchtv/twirp"
 
+	"github.com/catkinhead/catkinhead/internal/member"
 	"github.com/catkinhead/catkinhead/internal/op"
 	"github.com/catkinhead/catkinhead/pkg/clock"
 	"github.com/catkinhead/catkinhead/pkg/platform/wire"
@@ -163,3 +164,5 @@
 	}
 	return out
 }
+
+func instanceOf(i unit.Incarnation) unit.Instance { return member.NameOf(i) }
--- a/internal/serve/report.go
+++ b/internal/serve/report.go
@@ -4,13 +4,9 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"strings"
-	"sync"
-	"time"
 
 	"github.com/catkinhead/catkinhead/internal/decide"
-	"github.com/catkinhead/catkinhead/internal/member"
 	"github.com/catkinhead/catkinhead/internal/op"
 	"github.com/catkinhead/catkinhead/internal/usage"
 	"github.com/catkinhead/catkinhead/pkg/clock"
@@ -20,15 +16,11 @@
 )
 
 const (
-	// keepTime bounds the copy of counters to one peer.
-	keepTime = 250 * time.Millisecond
-	// keepTries is the number of peers tried for a copy.
-	keepTries = 3
-	// keptFor is how long another incarnation's counters are kept. The base
-	// of sealed windows remembers them for longer.
-	keptFor = 3600 * clock.Second
 	// chainKept is the number of sealed windows that stay in the store.
 	chainKept = 64
+	// stepKeptWindows is how many windows a closed step's record stays, so
+	// that no step can be opened under its name.
+	stepKeptWindows = 1440
 )
 
 // reported is how far reports were taken.
@@ -37,80 +29,6 @@
 	Window unit.Window
 }
 
-// keptCounters holds counters of other sources.
-type keptCounters struct {
-	mu sync.Mutex
-	by map[string]keptCounter
-}
-
-type keptCounter struct {
-	op.Counters
-	at clock.Millis
-}
-
-// keep stores a copy if it is the newest.
-func (k *keptCounters) keep(c op.Counters, now clock.Millis) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.by == nil {
-		k.by = make(map[string]keptCounter)
-	}
-	if old, ok := k.by[c.Source]; !ok || usage.Sum(c) > usage.Sum(old.Counters) {
-		k.by[c.Source] = keptCounter{Counters: c, at: now}
-	}
-}
-
-// all returns the copies that are not too old.
-func (k *keptCounters) all(now clock.Millis) []op.Counters {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	var out []op.Counters
-	for source, c := range k.by {
-		if now-c.at >= keptFor {
-			delete(k.by, source)
-			continue
-		}
-		out = append(out, c.Counters)
-	}
-	return out
-}
-
-// keepUsage copies counters to one peer. With no peer left to take them the
-// answers go out all the same, and a metric says so.
-func (p *Process) keepUsage(ctx context.Context, e op.KeepUsage) {
-	kept := false
-	for _, m := range p.keepers(e.Counters.Source) {
-		c, cancel := p.peers.context(ctx, keepTime)
-		_, err := p.peers.at(m.Address).Keep(c, countersOut(e.Counters))
-		cancel()
-		if err == nil {
-			kept = true
-			break
-		}
-	}
-	if !kept {
-		p.count("catkinhead_usage_copies_missing_total").Inc()
-	}
-	p.loop.Post(op.UsageKept{Kept: kept, Releases: e.Releases})
-}
-
-// keepers returns the peers that may keep a source's counters, the same ones
-// as long as they live.
-func (p *Process) keepers(source string) []op.MemberInfo {
-	var out []op.MemberInfo
-	p.loop.Ask(func(_ clock.Millis, s *decide.State) {
-		out = s.Members.Nearest(source, keepTries)
-	})
-	return out
-}
-
-// counters returns all counters known here: its own and those kept.
-func (p *Process) counters() []op.Counters {
-	out := p.kept.all(p.clock.Now())
-	p.loop.Ask(func(_ clock.Millis, s *decide.State) { out = append(out, usage.Clone(s.Usage.Own)) })
-	return out
-}
-
 // gather collects counters from the live instances and from the records of
 // steps. An instance that does not answer is covered by the copies of others
 // or by a later window.
@@ -243,45 +161,3 @@
 		}
 	}
 }
-
-// stepKeptWindows is how many windows a closed step's record stays, so that a
-// step cannot be opened under its name.
-const stepKeptWindows = 1440
-
-func countersOut(c op.Counters) *rpc.UsageCounters {
-	out := &rpc.UsageCounters{Source: c.Source}
-	for _, w := range c.Workspaces {
-		x := &rpc.WorkspaceUsage{Workspace: string(w.Workspace), Total: int64(w.Total)}
-		for _, n := range w.Windows {
-			x.Windows = append(x.Windows, &rpc.WindowTokens{Window: int64(n.Window), Tokens: int64(n.Tokens)})
-		}
-		out.Workspaces = append(out.Workspaces, x)
-	}
-	return out
-}
-
-func countersIn(list []*rpc.UsageCounters) []op.Counters {
-	var out []op.Counters
-	for _, c := range list {
-		x := op.Counters{Source: c.Source}
-		for _, w := range c.Workspaces {
-			y := op.WorkspaceTokens{Workspace: unit.Workspace(w.Workspace), Total: unit.Tokens(w.Total)}
-			for _, n := range w.Windows {
-				y.Windows = append(y.Windows, op.WindowTokens{Window: unit.Window(n.Window), Tokens: unit.Tokens(n.Tokens)})
-			}
-			x.Workspaces = append(x.Workspaces, y)
-		}
-		out = append(out, x)
-	}
-	return out
-}
-
-func instanceOf(i unit.Incarnation) unit.Instance { return member.NameOf(i) }
-
-// checkSource refuses counters that claim to be ours.
-func (p *Process) checkSource(source string) error {
-	if source == "run:"+string(p.self.Incarnation) {
-		return fmt.Errorf("source %q is this incarnation's own", source)
-	}
-	return nil
-}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -3,11 +3,8 @@
 import (
 	"bytes"
 	"encoding/json"
-	"errors"
-	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -47,13 +44,6 @@
 	started   int
 }
 
-// snapshot is the lists as they stood at a time.
-type snapshot struct {
-	at        time.Time
-	targets   []platform.TargetState
-	instances []platform.InstanceState
-}
-
 // OrderRecord is one order as it was accepted or refused.
 type OrderRecord struct {
 	platform.Order
@@ -169,163 +159,6 @@
 	}
 }
 
-// store counts and applies the faults of the object API.
-func (p *Platform) store(h http.HandlerFunc) http.HandlerFunc {
-	h = p.faults.wrap("store", h)
-	return func(w http.ResponseWriter, r *http.Request) {
-		p.mu.Lock()
-		p.calls++
-		if p.byCaller == nil {
-			p.byCaller = make(map[string]int64)
-		}
-		p.byCaller[r.Header.Get("X-Instance")]++
-		p.mu.Unlock()
-		h(w, r)
-	}
-}
-
-func (p *Platform) getObject(w http.ResponseWriter, r *http.Request) {
-	o, err := p.objects.Get(r.Context(), r.PathValue("key"))
-	answer(w, o, err)
-}
-
-func (p *Platform) putObject(w http.ResponseWriter, r *http.Request) {
-	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 1<<20))
-	if err != nil {
-		http.Error(w, "value above one megabyte or cut", http.StatusRequestEntityTooLarge)
-		return
-	}
-	rev, err := p.objects.Put(r.Context(), r.PathValue("key"), b, revOf(r, "if"))
-	answer(w, platform.Object{Revision: rev}, err)
-}
-
-func (p *Platform) deleteObject(w http.ResponseWriter, r *http.Request) {
-	err := p.objects.Delete(r.Context(), r.PathValue("key"), revOf(r, "if"))
-	answer(w, struct{}{}, err)
-}
-
-func (p *Platform) listObjects(w http.ResponseWriter, r *http.Request) {
-	objs, err := p.objects.List(r.Context(), r.URL.Query().Get("prefix"))
-	answer(w, objs, err)
-}
-
-func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
-	rev, err := p.objects.Watch(r.Context(), r.URL.Query().Get("prefix"), revOf(r, "after"))
-	answer(w, rev, err)
-}
-
-func (p *Platform) order(w http.ResponseWriter, r *http.Request) {
-	var o platform.Order
-	if !decode(w, r, &o) {
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	rec := OrderRecord{Order: o, At: time.Now().UnixMilli(), From: r.Header.Get("X-Instance")}
-	if p.highest == nil {
-		p.highest = make(map[unit.DataCentre]unit.Fence)
-		p.byOrderID = make(map[string]bool)
-	}
-	if p.CheckFence && o.Fence < p.highest[o.DataCentre] {
-		rec.Refused = true
-		p.orders = append(p.orders, rec)
-		http.Error(w, "stale fence", http.StatusConflict)
-		return
-	}
-	p.highest[o.DataCentre] = max(o.Fence, p.highest[o.DataCentre])
-	p.orders = append(p.orders, rec)
-	if !p.byOrderID[o.ID] {
-		p.byOrderID[o.ID] = true
-		p.carryOut(o)
-	}
-	reply(w, struct{}{})
-}
-
-// carryOut starts or stops a target; p.mu is held.
-func (p *Platform) carryOut(o platform.Order) {
-	switch o.Kind {
-	case platform.Start:
-		time.AfterFunc(time.Duration(p.StartMillis)*time.Millisecond, func() { p.bringUp(o) })
-	case platform.Stop:
-		for i := range p.targets {
-			if p.targets[i].Target == o.Target {
-				p.targets[i].Leaving = true
-			}
-		}
-		p.snap()
-		if e := p.running[o.Target]; e != nil {
-			e.Leave(true)
-		}
-	}
-}
-
-func (p *Platform) bringUp(o platform.Order) {
-	cfg := p.Engine
-	cfg.Name = string(o.Target)
-	e := NewEngine(cfg)
-	if err := e.Listen("127.0.0.1:0"); err != nil {
-		return
-	}
-	p.mu.Lock()
-	if p.running == nil {
-		p.running = make(map[unit.Target]*Engine)
-	}
-	p.running[o.Target] = e
-	p.mu.Unlock()
-	p.AddTarget(platform.TargetState{Target: o.Target, Pool: o.Pool, DataCentre: o.DataCentre, Address: e.Address()})
-}
-
-func (p *Platform) listTargets(w http.ResponseWriter, _ *http.Request) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	reply(w, p.lagged().targets)
-}
-
-func (p *Platform) listInstances(w http.ResponseWriter, _ *http.Request) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	reply(w, p.lagged().instances)
-}
-
-// snap remembers the lists as they stand; p.mu is held.
-func (p *Platform) snap() {
-	p.lists = append(p.lists, snapshot{
-		at:        time.Now(),
-		targets:   append([]platform.TargetState{}, p.targets...),
-		instances: append([]platform.InstanceState{}, p.instances...),
-	})
-}
-
-// lagged returns the newest snapshot that is old enough; p.mu is held.
-func (p *Platform) lagged() snapshot {
-	if p.frozen != nil {
-		return *p.frozen
-	}
-	limit := time.Now().Add(-time.Duration(p.LagMillis) * time.Millisecond)
-	for i := len(p.lists) - 1; i >= 0; i-- {
-		if !p.lists[i].at.After(limit) {
-			return p.lists[i]
-		}
-	}
-	return snapshot{targets: []platform.TargetState{}, instances: []platform.InstanceState{}}
-}
-
-func (p *Platform) addTarget(w http.ResponseWriter, r *http.Request) {
-	var t platform.TargetState
-	if decode(w, r, &t) {
-		p.AddTarget(t)
-		reply(w, struct{}{})
-	}
-}
-
-func (p *Platform) addInstance(w http.ResponseWriter, r *http.Request) {
-	var x platform.InstanceState
-	if decode(w, r, &x) {
-		p.AddInstance(x)
-		reply(w, struct{}{})
-	}
-}
-
 func (p *Platform) listVersions(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -381,47 +214,3 @@
 	p.faults.set(f)
 	reply(w, struct{}{})
 }
-
-// freeze keeps the lists as they are, or lets them go on.
-func (p *Platform) freeze(on bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.frozen = nil
-	if on {
-		s := p.lagged()
-		p.frozen = &s
-	}
-}
-
-func revOf(r *http.Request, name string) unit.Revision {
-	n, _ := strconv.ParseInt(r.URL.Query().Get(name), 10, 64)
-	return unit.Revision(n)
-}
-
-func decode(w http.ResponseWriter, r *http.Request, v any) bool {
-	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, 4<<20))
-	d.DisallowUnknownFields()
-	if err := d.Decode(v); err != nil {
-		http.Error(w, fmt.Sprintf("body: %v", err), http.StatusBadRequest)
-		return false
-	}
-	return true
-}
-
-func answer(w http.ResponseWriter, v any, err error) {
-	switch {
-	case errors.Is(err, platform.ErrNotFound):
-		http.Error(w, err.Error(), http.StatusNotFound)
-	case errors.Is(err, platform.ErrConflict):
-		http.Error(w, err.Error(), http.StatusPreconditionFailed)
-	case err != nil:
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
-	default:
-		reply(w, v)
-	}
-}
-
-func reply(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
-}
