--- a/internal/serve/process.go
+++ b/internal/serve/process.go
@@ -170,15 +170,20 @@
 	case op.Cancel:
 		p.calls.cancel(e.Run)
 	case op.Refuse:
+		p.log.WithFields(logrus.Fields{
+			"Request": e.Request, "Reason": e.Reason, "Outcome": e.Outcome.String(),
+		}).Debug("refused")
 		p.calls.end(e.Request, ending{refusal: &e})
 	case op.Release:
 		p.calls.end(e.Request, ending{})
 	case op.StepOpened:
+		p.logStep(e.Step, e.Reason).WithField("Epoch", e.Epoch).Info("step opened")
 		p.steps.opened(e)
 		p.waiting.answer(e.Call, e)
 	case op.Deliver:
 		p.waiting.answer(e.Call, e)
 	case op.StepEnded:
+		p.logStep(e.Step, e.Reason).WithField("Recorded", e.Recorded).Info("step closed")
 		p.waiting.answer(e.Call, e)
 	case op.DropStep:
 		p.steps.drop(e)
@@ -189,6 +194,16 @@
 	}
 }
 
+// logStep returns a log for a call about a step, with the reason if it was
+// refused.
+func (p *Process) logStep(id unit.StepID, why op.Reason) *logrus.Entry {
+	log := p.log.WithFields(logrus.Fields{"Workspace": id.Workspace, "Step": id.Name})
+	if why != "" {
+		log = log.WithField("Refused", why)
+	}
+	return log
+}
+
 func (p *Process) note(n op.Note) {
 	level, err := logrus.ParseLevel(n.Level)
 	if err != nil {
