--- a/internal/scenario/check_test.go
+++ b/internal/scenario/check_test.go
@@ -293,3 +293,12 @@
 		return err == nil && strings.Count(string(b), "\n") >= n
 	})
 }
+
+// sum A B VAR: adds two numbers.
+func cmdSum(ts *testscript.TestScript, _ bool, args []string) {
+	a, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	b, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	ts.Setenv(args[2], strconv.Itoa(a+b))
+}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -47,7 +47,7 @@
 			"launch": cmdLaunch, "signal": cmdSignal, "exited": cmdExited, "await": cmdAwait, "logged": cmdLogged,
 			"fault": cmdFault, "call": cmdCall, "post": cmdPost, "holder": cmdHolder, "passed": cmdPassed, "mark": cmdMark,
 			"in-charge": cmdInCharge, "usage": cmdUsage, "ran": cmdRan, "unseen": cmdUnseen, "samples": cmdSamples,
-			"stream": cmdStream, "streamed": cmdStreamed, "quiet": cmdQuiet, "storecalls": cmdStoreCalls, "crashes": cmdCrashes, "lines": cmdLines, "link": cmdLink, "cut": cmdCut,
+			"stream": cmdStream, "streamed": cmdStreamed, "quiet": cmdQuiet, "storecalls": cmdStoreCalls, "crashes": cmdCrashes, "lines": cmdLines, "sum": cmdSum, "link": cmdLink, "cut": cmdCut,
 			"ordered": cmdOrdered, "deciding": cmdDeciding, "equal": cmdEqual, "ready": cmdReady, "await-call": cmdAwaitCall,
 			"sleep": cmdSleep, "stored": cmdStored, "one-of": cmdOneOf, "leave": cmdLeave, "loaded": cmdLoaded,
 			"balancer": cmdBalancer, "whole": cmdWhole, "running": cmdRunning, "edit-anywhere": cmdEditAnywhere, "everywhere": cmdEverywhere,
--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -13,7 +13,7 @@
 const (
 	// Down answers 503 without doing anything.
 	Down Mode = "Down"
-	// Slow answers after Millis.
+	// Slow acts and answers after Millis, also when the caller gave up.
 	Slow Mode = "Slow"
 	// Lost takes effect and then breaks the connection.
 	Lost Mode = "Lost"
@@ -109,11 +109,7 @@
 			http.Error(w, "down", http.StatusServiceUnavailable)
 			return
 		case Slow:
-			select {
-			case <-time.After(d):
-			case <-r.Context().Done():
-				return
-			}
+			time.Sleep(d)
 		case Lost:
 			h(discard{header: make(http.Header)}, r)
 			panic(http.ErrAbortHandler)
