scenario: follow a target from its order to its end

Ordered by the count of its pool, used, stopped as the count falls while it still streams an answer, which ends whole; the next call is refused as not run.

--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -230,6 +230,7 @@
 		file = args[0]
 	}
 	w := worldOf(ts)
+	withCounts(ts, w.dir)
 	w.until(ts, 10*time.Second, "configuration applied", func() bool {
 		return ts.Exec("catkinhead", "apply", file) == nil
 	})
@@ -238,6 +239,20 @@
 	}
 }
 
+// withCounts makes NAME.yaml of each NAME.tail: the configuration of every
+// script with another draft-pool.
+func withCounts(ts *testscript.TestScript, dir string) {
+	tails, err := filepath.Glob(filepath.Join(dir, "*.tail"))
+	ts.Check(err)
+	for _, tail := range tails {
+		b, err := os.ReadFile(tail)
+		ts.Check(err)
+		doc := strings.Replace(document(), "  - {Name: draft-pool, Kind: Model}\n", string(b), 1)
+		doc = strings.Replace(doc, "{Name: draft, Pool: draft-pool}", "{Name: draft, Pool: draft-pool, DeadlineMillis: 8000}", 1)
+		ts.Check(os.WriteFile(strings.TrimSuffix(tail, ".tail")+".yaml", []byte(doc), 0o600))
+	}
+}
+
 // launch NAME PROG ARGS: starts any program of ours in the background.
 func cmdLaunch(ts *testscript.TestScript, _ bool, args []string) {
 	worldOf(ts).start(ts, args[0], args[1], args[2:]...)
