member: ask a peer again after the late answer of its predecessor

Cause: an answer of an incarnation that was replaced meanwhile was dropped before the peer was marked as free, so it was never asked again, and never counted for a majority. Found in reading; TestLateAnswerOfPredecessor was red ('the peer is never asked again'). Change: the end of an exchange frees the peer whoever answered.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -168,11 +168,13 @@
 		return
 	}
 	m := s.member(now, e.Know.From)
+	if e.Asked {
+		m.Busy = false
+	}
 	if m.Incarnation != e.Know.From.Incarnation {
 		return
 	}
 	if e.Asked {
-		m.Busy = false
 		m.Heard, m.HeardAt = true, max(m.HeardAt, e.AskedAt)
 	}
 	for _, x := range e.Know.Members {
--- /dev/null
+++ b/internal/member/member_test.go
@@ -0,0 +1,78 @@
+package member
+
+import (
+	"testing"
+
+	"github.com/catkinhead/catkinhead/internal/op"
+	"github.com/catkinhead/catkinhead/pkg/clock"
+	"github.com/catkinhead/catkinhead/pkg/platform"
+	"github.com/catkinhead/catkinhead/pkg/unit"
+)
+
+// newState is i1, which has read a list with two others.
+func newState() *State {
+	s := &State{Self: op.MemberInfo{Incarnation: "i1#1", DataCentre: "north"}}
+	var out op.List
+	s.Reduce(0, op.ListRead{Result: op.Done, Instances: []platform.InstanceState{
+		{Instance: "i1"}, {Instance: "i2", Address: "b", DataCentre: "north"}, {Instance: "i3", Address: "c", DataCentre: "south"},
+	}}, &out)
+	s.Reduce(0, op.Tick{}, &out)
+	return s
+}
+
+func heard(from unit.Incarnation, asked bool) op.PeerHeard {
+	return op.PeerHeard{Know: op.Knowledge{From: op.MemberInfo{Incarnation: from, Address: "b", Beat: 1}}, Asked: asked}
+}
+
+// TestLateAnswerOfPredecessor lets the answer of a replaced incarnation come
+// after its successor was heard of. The peer must be asked again.
+func TestLateAnswerOfPredecessor(t *testing.T) {
+	s := newState()
+	var out op.List
+	s.Members["i2"].Busy = true
+	s.Reduce(1, heard("i2#2", false), &out)
+	s.Reduce(2, heard("i2#1", true), &out)
+	m := s.Members["i2"]
+	if m.Incarnation != "i2#2" {
+		t.Fatalf("the predecessor %s is taken for its successor", m.Incarnation)
+	}
+	if m.Heard {
+		t.Error("the answer of the predecessor counts for its successor")
+	}
+	if m.Busy {
+		t.Error("the peer is never asked again")
+	}
+}
+
+// TestRounds counts the exchanges of fleets of several sizes: one instance
+// pays the same, and every peer has its turn.
+func TestRounds(t *testing.T) {
+	for _, n := range []int{8, 100, 1600} {
+		s := &State{Self: op.MemberInfo{Incarnation: "self#1"}}
+		list := op.ListRead{Result: op.Done}
+		for i := range n {
+			name := unit.Instance([]byte{'a' + byte(i/676), 'a' + byte(i/26%26), 'a' + byte(i%26)})
+			list.Instances = append(list.Instances, platform.InstanceState{Instance: name, Address: "x"})
+		}
+		asked := make(map[unit.Instance]int)
+		var out op.List
+		s.Reduce(0, list, &out)
+		total := 0
+		rounds := n/fanOut + 1
+		for r := range rounds {
+			now := clock.Millis(r) * Every
+			out = nil
+			s.Reduce(now, op.Tick{}, &out)
+			for _, e := range out {
+				if x, ok := e.(op.Exchange); ok {
+					asked[x.Instance]++
+					total++
+					s.Reduce(now, op.PeerSilent{Instance: x.Instance}, &out)
+				}
+			}
+		}
+		if len(asked) != n || total > rounds*fanOut {
+			t.Errorf("%d of %d peers had a turn in %d rounds of %d exchanges", len(asked), n, rounds, total)
+		}
+	}
+}
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -1,8 +1,6 @@
 package usage
 
 import (
-	"slices"
-
 	"github.com/catkinhead/catkinhead/internal/op"
 	"github.com/catkinhead/catkinhead/pkg/clock"
 	"github.com/catkinhead/catkinhead/pkg/unit"
@@ -28,7 +26,7 @@
 	Length clock.Millis
 	// Own counts the live answers released here.
 	Own op.Counters
-	// waiting are the requests whose counter was not copied yet; Keeping is
+	// Waiting are the requests whose counter was not copied yet; Keeping is
 	// set while a copy is under way.
 	Waiting []unit.Request
 	Keeping bool
@@ -204,6 +202,3 @@
 
 // Idle tells whether no answer waits for its copy.
 func (s *State) Idle() bool { return !s.Keeping && len(s.Waiting) == 0 }
-
-// Tokens returns the counters of this instance by workspace.
-func (s *State) Tokens() []op.WorkspaceTokens { return slices.Clone(s.Own.Workspaces) }
