step: let no answer of a former opening open a step

Cause: a step that is opened anew at its home while a write is under way got the answer to that write as if it were its own, and began to serve under epoch 0, unclaimed. Found in reading; then put into the world that is gone through in all orders, which was red: 'epoch 0 after 1 after [finish 0 pull 0 pull 0 tick 0 open 0]'. Ruled out: late reads (what they lead to is a conditional write). Change: the end of a write counts only under the epoch it went under. The world also never tried its last moves, the trainer giving a call up, since their number was counted wrongly; it does now.

--- a/internal/decide/step_test.go
+++ b/internal/decide/step_test.go
@@ -42,11 +42,14 @@
 
 // stepWorld is two homes, a store and a trainer.
 type stepWorld struct {
-	Now     clock.Millis
-	Obj     cell[op.StepRecord]
-	Revs    int64
-	Homes   [2]step.State
-	Calls   [2]*stepCall
+	Now   clock.Millis
+	Obj   cell[op.StepRecord]
+	Revs  int64
+	Homes [2]step.State
+	Calls [2]*stepCall
+	// Left is a write of a home that was left behind as the step was opened
+	// anew there; its answer still comes.
+	Left    [2]*stepCall
 	Running [2][]op.Request
 	Trainer trainer
 	Serial  int64
@@ -76,11 +79,11 @@
 	return c
 }
 
-var stepMoves = []string{"tick", "open", "finish", "apply", "answer", "lose", "fail", "pull", "close", "give up"}
+var stepMoves = []string{"tick", "open", "finish", "apply", "answer", "lose", "fail", "answer left", "pull", "close", "give up"}
 
 func stepMove(k int) string { return fmt.Sprintf("%s %d", stepMoves[k/2], k%2) }
 
-func (w *stepWorld) moves() int { return 2*len(stepMoves) - 3 }
+func (w *stepWorld) moves() int { return 2 * len(stepMoves) }
 
 func (w *stepWorld) do(k int) bool {
 	i := k % 2
@@ -122,6 +125,11 @@
 		}
 		w.Calls[i] = nil
 		w.answer(i, c, op.Refused)
+	case "answer left":
+		if w.Left[i] == nil {
+			return false
+		}
+		w.answerLeft(i)
 	case "pull":
 		if i == 1 || w.Trainer.Call != 0 || !w.Trainer.Open {
 			return false
@@ -133,7 +141,7 @@
 		}
 		w.close()
 	case "give up":
-		if w.Trainer.Call == 0 {
+		if i == 1 || w.Trainer.Call == 0 {
 			return false
 		}
 		w.Trainer.Call, w.Trainer.Open = 0, false
@@ -231,7 +239,21 @@
 
 // call begins a call; one that is under way is left behind, as after a step
 // was opened anew.
-func (w *stepWorld) call(i int, c *stepCall) { w.Calls[i] = c }
+func (w *stepWorld) call(i int, c *stepCall) {
+	if old := w.Calls[i]; old != nil && old.Write != nil {
+		w.Left[i] = old
+	}
+	w.Calls[i] = c
+}
+
+func (w *stepWorld) answerLeft(i int) {
+	c := w.Left[i]
+	w.Left[i] = nil
+	if !c.Applied {
+		w.apply(c)
+	}
+	w.answer(i, c, c.Result)
+}
 
 func (w *stepWorld) opened(e op.StepOpened) {
 	tr := &w.Trainer
@@ -302,6 +324,9 @@
 	for range 60 {
 		w.Now += clock.Second
 		for i := range w.Homes {
+			if w.Left[i] != nil {
+				w.answerLeft(i)
+			}
 			w.through(i)
 			w.reduce(i, op.Tick{})
 			w.through(i)
--- a/internal/step/home.go
+++ b/internal/step/home.go
@@ -124,8 +124,12 @@
 	out.Add(op.SaveStep{Step: st.ID, Record: cloneRecord(st.Record), IfRev: st.Revision, Claim: st.Phase == Claiming})
 }
 
-// saved takes the end of a write.
+// saved takes the end of a write. One of an earlier opening of the step, which
+// went under another epoch, says nothing of this one.
 func (s *State) saved(now clock.Millis, st *Step, e op.StepSaved, v View, out *op.List) {
+	if e.Record.Epoch != st.Record.Epoch {
+		return
+	}
 	st.Saving = false
 	switch e.Result {
 	case op.Done:
