--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -269,11 +269,31 @@
 		ts.Fatalf("no process %q or signal %q", args[0], args[1])
 	}
 	ts.Check(p.cmd.Process.Signal(sig))
-	if sig == syscall.SIGKILL {
+	switch sig {
+	case syscall.SIGKILL:
 		<-p.done
+	case syscall.SIGSTOP:
+		w.until(ts, 5*time.Second, args[0]+" stands still", func() bool { return stopped(p.cmd.Process.Pid) })
 	}
 }
 
+// stopped tells whether every thread of a process has stopped, which comes a
+// while after the signal was sent.
+func stopped(pid int) bool {
+	stats, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	if err != nil || len(stats) == 0 {
+		return false
+	}
+	for _, name := range stats {
+		b, err := os.ReadFile(name)
+		_, state, ok := strings.Cut(string(b), ") ")
+		if err != nil || !ok || state[0] != 'T' {
+			return false
+		}
+	}
+	return true
+}
+
 // exited NAME CODE [TIMEOUT]: waits for the end of a process.
 func cmdExited(ts *testscript.TestScript, _ bool, args []string) {
 	w := worldOf(ts)
