--- /dev/null
+++ b/internal/batch/batch.go
@@ -0,0 +1,410 @@
+package batch
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/catkinhead/catkinhead/internal/op"
+	"github.com/catkinhead/catkinhead/internal/roster"
+	"github.com/catkinhead/catkinhead/internal/route"
+	"github.com/catkinhead/catkinhead/pkg/clock"
+	"github.com/catkinhead/catkinhead/pkg/unit"
+)
+
+const (
+	// appendEvery is the least time between two chunks of a job, so that the
+	// calls to the store stay few. Whole groups that complete what the trainer
+	// waits for do not wait.
+	appendEvery clock.Millis = 300
+	// retryAppend is the pause after a chunk that may not have been written.
+	retryAppend clock.Millis = 250
+	// refusedFor is how long a target that took no item of a model is passed
+	// over for that model.
+	refusedFor clock.Millis = 150
+	// oldFor is how long a target with too old a version is passed over.
+	oldFor clock.Millis = 400
+	// failedPause is the pause of an item after a failure.
+	failedPause clock.Millis = 50
+)
+
+// phase is where an item stands.
+type phase int
+
+const (
+	waiting phase = iota
+	running
+	// done items have their whole output, givenUp ones have none.
+	done
+	givenUp
+	listed
+)
+
+// Item is one item of a job.
+type Item struct {
+	op.ItemShape
+	Phase  phase
+	Target unit.Target
+	// Run tells the runs of the item apart.
+	Run int64
+	// Fails counts the failures that the target answered for itself.
+	Fails     int
+	NotBefore clock.Millis
+	// Last is the last event that is kept, -1 for none.
+	Last int64
+}
+
+// Job is a job that this instance owns.
+type Job struct {
+	op.JobShape
+	Epoch unit.Epoch
+	Items []Item
+	// Order is the order in which items are started.
+	Order []int
+	// Chunks and Listed count what stands in the store.
+	Chunks, Listed int
+	// Writing is set while a chunk is being written. The next one is written
+	// after AppendAt, or at once if it matters; none before RetryAt.
+	Writing           bool
+	AppendAt, RetryAt clock.Millis
+	// DueAt is when all results are due, GiveUpAt when items may be given up.
+	DueAt, GiveUpAt clock.Millis
+	// Ending is set from the request for the end, Ended once that is stored.
+	Ending, Ended bool
+	EndCalls      []op.CallID
+}
+
+// State is the jobs that this instance owns.
+type State struct {
+	Jobs map[string]*Job
+	// Refused holds until when a target is passed over for a model.
+	Refused map[refusal]clock.Millis
+	run     int64
+}
+
+type refusal struct {
+	Target unit.Target
+	Model  unit.Model
+}
+
+// View is what decisions on jobs rest on.
+type View struct {
+	Roster *roster.State
+	Table  *route.Table
+	// Draining stops new runs.
+	Draining bool
+}
+
+// Reduce handles events of jobs and starts what can be started.
+func (s *State) Reduce(now clock.Millis, ev op.Event, v View, out *op.List) {
+	switch e := ev.(type) {
+	case op.JobTaken:
+		s.taken(now, e, v, out)
+	case op.JobDropped:
+		s.dropped(e.Job, v, out)
+	case op.ItemEnded:
+		s.itemEnded(now, e, v)
+	case op.Appended:
+		s.appended(now, e, v, out)
+	case op.EndAsked:
+		s.endAsked(e, v, out)
+	}
+	s.Advance(now, v, out)
+}
+
+// Advance gives up what is too late, starts items and appends chunks.
+func (s *State) Advance(now clock.Millis, v View, out *op.List) {
+	jobs := s.byDue()
+	for _, j := range jobs {
+		s.giveUp(now, j, v, out)
+	}
+	if !v.Draining {
+		for _, j := range jobs {
+			s.start(now, j, v, out)
+		}
+	}
+	for _, j := range jobs {
+		s.append(now, j, out)
+	}
+}
+
+func (s *State) byDue() []*Job {
+	jobs := make([]*Job, 0, len(s.Jobs))
+	for _, id := range slices.Sorted(maps.Keys(s.Jobs)) {
+		if j := s.Jobs[id]; !j.Closed() {
+			jobs = append(jobs, j)
+		}
+	}
+	slices.SortStableFunc(jobs, func(a, b *Job) int { return cmp.Compare(a.DueAt, b.DueAt) })
+	return jobs
+}
+
+// Closed tells whether nothing more will be listed.
+func (j *Job) Closed() bool { return j.Ended || j.Listed == len(j.Items) && !j.Ending }
+
+func (s *State) taken(now clock.Millis, e op.JobTaken, v View, out *op.List) {
+	if s.Jobs == nil {
+		s.Jobs = make(map[string]*Job)
+		s.Refused = make(map[refusal]clock.Millis)
+	}
+	if old := s.Jobs[e.Shape.ID]; old != nil {
+		old.Epoch = max(old.Epoch, e.Epoch)
+		return
+	}
+	j := &Job{JobShape: e.Shape, Epoch: e.Epoch, Items: make([]Item, len(e.Shape.Items))}
+	for i, it := range e.Shape.Items {
+		j.Items[i] = Item{ItemShape: it, Last: -1}
+		j.Order = append(j.Order, i)
+	}
+	slices.SortStableFunc(j.Order, func(a, b int) int {
+		return cmp.Compare(j.Items[b].Expected, j.Items[a].Expected)
+	})
+	j.GiveUpAt = 1 << 62
+	if v.Table != nil {
+		if r, ok := v.Table.Route(e.Shape.Route); ok {
+			j.DueAt = now - e.Shape.Age + r.DueAfter
+			if r.GiveUpAfter > 0 {
+				j.GiveUpAt = now - e.Shape.Age + r.GiveUpAfter
+			}
+		}
+	}
+	s.Jobs[e.Shape.ID] = j
+	for _, c := range e.Chunks {
+		s.adopt(j, c, v, out)
+	}
+}
+
+func (s *State) dropped(id string, v View, out *op.List) {
+	j := s.Jobs[id]
+	if j == nil {
+		return
+	}
+	for i := range j.Items {
+		s.stop(j, i, v, out)
+	}
+	delete(s.Jobs, id)
+}
+
+// stop breaks off the run of an item, if it has one.
+func (s *State) stop(j *Job, i int, v View, out *op.List) {
+	it := &j.Items[i]
+	if it.Phase != running {
+		return
+	}
+	it.Phase = waiting
+	v.Roster.Released(it.Target)
+	out.Add(op.StopItem{Job: j.ID, Item: i, Run: it.Run})
+}
+
+func (s *State) itemEnded(now clock.Millis, e op.ItemEnded, v View) {
+	j := s.Jobs[e.Job]
+	if j == nil || e.Item >= len(j.Items) {
+		return
+	}
+	it := &j.Items[e.Item]
+	if it.Phase != running || it.Run != e.Run {
+		return
+	}
+	it.Phase, it.Last = waiting, e.Last
+	v.Roster.Ended(now, e.Target, e.End == op.ItemBroken)
+	switch e.End {
+	case op.ItemWhole:
+		it.Phase = done
+	case op.ItemNotRun:
+		s.Refused[refusal{e.Target, it.Model}] = now + refusedFor
+	case op.ItemOldVersion:
+		s.Refused[refusal{e.Target, it.Model}] = now + oldFor
+	case op.ItemImpossible:
+		it.Phase = givenUp
+	case op.ItemFailed:
+		it.Fails++
+		it.NotBefore = now + failedPause
+		if it.Fails >= s.maxAttempts(j, v) {
+			it.Phase = givenUp
+		}
+	}
+}
+
+func (s *State) maxAttempts(j *Job, v View) int {
+	if v.Table != nil {
+		if r, ok := v.Table.Route(j.Route); ok {
+			return r.MaxAttempts
+		}
+	}
+	return 1 << 30
+}
+
+// giveUp gives items up once their time is over.
+func (s *State) giveUp(now clock.Millis, j *Job, v View, out *op.List) {
+	if now < j.GiveUpAt {
+		return
+	}
+	for i := range j.Items {
+		s.stop(j, i, v, out)
+		if j.Items[i].Phase == waiting {
+			j.Items[i].Phase = givenUp
+		}
+	}
+}
+
+// start sends waiting items to targets with free slots.
+func (s *State) start(now clock.Millis, j *Job, v View, out *op.List) {
+	if j.Ending || v.Table == nil {
+		return
+	}
+	rule, ok := v.Table.Route(j.Route)
+	if !ok {
+		return
+	}
+	for _, i := range j.Order {
+		it := &j.Items[i]
+		if it.Phase != waiting || now < it.NotBefore {
+			continue
+		}
+		t := s.pick(now, j, it, v)
+		if t == nil {
+			continue
+		}
+		s.run++
+		it.Phase, it.Run, it.Target = running, s.run, t.Target
+		v.Roster.Began(t.Target)
+		out.Add(op.RunItem{
+			Job: j.ID, Item: i, Run: it.Run, Target: t.Target, Address: t.Address, Model: it.Model,
+			MinVersion: j.MinVersion, SingleVersion: rule.SingleVersion, After: it.Last, Until: j.GiveUpAt,
+		})
+	}
+}
+
+// pick returns the target with the most free slots whose version fits.
+func (s *State) pick(now clock.Millis, j *Job, it *Item, v View) *roster.Target {
+	var best *roster.Target
+	for _, t := range v.Roster.Usable(j.Pool) {
+		if t.Running >= max(t.Slots, 1) || now < t.SuspectUntil || now < s.Refused[refusal{t.Target, it.Model}] {
+			continue
+		}
+		if t.VersionOf(it.Model) < j.MinVersion {
+			continue
+		}
+		if best == nil || t.Running*max(best.Slots, 1) < best.Running*max(t.Slots, 1) {
+			best = t
+		}
+	}
+	return best
+}
+
+// append writes the next chunk if there is something to list.
+func (s *State) append(now clock.Millis, j *Job, out *op.List) {
+	if j.Writing || j.Ended || now < j.RetryAt {
+		return
+	}
+	e := op.AppendChunk{Job: j.ID, Chunk: j.Chunks, Ended: j.Ending}
+	for i := range j.Items {
+		switch j.Items[i].Phase {
+		case done:
+			e.Done = append(e.Done, i)
+		case givenUp:
+			e.GivenUp = append(e.GivenUp, i)
+		}
+	}
+	ready := len(e.Done) + len(e.GivenUp)
+	if ready == 0 && !j.Ending {
+		return
+	}
+	if now < j.AppendAt && !j.Ending && !j.completes(ready) {
+		return
+	}
+	j.Writing = true
+	j.AppendAt = now + appendEvery
+	out.Add(e)
+}
+
+// completes tells whether the results that are ready are all that the job, or
+// the groups which the trainer waits for, still lack.
+func (j *Job) completes(ready int) bool {
+	if j.Listed+ready == len(j.Items) {
+		return true
+	}
+	open := make(map[string]bool)
+	groups := make(map[string]bool)
+	fresh := make(map[string]bool)
+	for i := range j.Items {
+		it := &j.Items[i]
+		groups[it.Group] = true
+		switch it.Phase {
+		case waiting, running:
+			open[it.Group] = true
+		case done, givenUp:
+			fresh[it.Group] = true
+		}
+	}
+	whole, old := 0, 0
+	for g := range groups {
+		if open[g] {
+			continue
+		}
+		whole++
+		if !fresh[g] {
+			old++
+		}
+	}
+	return j.WantGroups > 0 && whole >= j.WantGroups && old < j.WantGroups
+}
+
+func (s *State) appended(now clock.Millis, e op.Appended, v View, out *op.List) {
+	j := s.Jobs[e.Job]
+	if j == nil || e.Chunk != j.Chunks {
+		return
+	}
+	j.Writing = false
+	switch e.Result {
+	case op.Done, op.Conflict:
+		s.adopt(j, e.Other, v, out)
+	default:
+		j.RetryAt = now + retryAppend
+	}
+}
+
+// adopt takes a chunk that stands in the store.
+func (s *State) adopt(j *Job, c op.ChunkShape, v View, out *op.List) {
+	j.Chunks++
+	for _, i := range c.Items {
+		if i < 0 || i >= len(j.Items) || j.Items[i].Phase == listed {
+			continue
+		}
+		s.stop(j, i, v, out)
+		j.Items[i].Phase = listed
+		j.Listed++
+	}
+	out.Add(op.JobListed{Job: j.ID, Chunk: c, Total: j.Listed})
+	if c.Ended {
+		j.Ending, j.Ended = true, true
+		for i := range j.Items {
+			s.stop(j, i, v, out)
+		}
+	}
+	if j.Ended {
+		for _, call := range j.EndCalls {
+			out.Add(op.JobEnded{Call: call})
+		}
+		j.EndCalls = nil
+	}
+}
+
+func (s *State) endAsked(e op.EndAsked, v View, out *op.List) {
+	j := s.Jobs[e.Job]
+	if j == nil {
+		return
+	}
+	if j.Ended {
+		out.Add(op.JobEnded{Call: e.Call})
+		return
+	}
+	j.EndCalls = append(j.EndCalls, e.Call)
+	if j.Ending {
+		return
+	}
+	j.Ending = true
+	for i := range j.Items {
+		s.stop(j, i, v, out)
+	}
+}
--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -14,7 +14,10 @@
 // commands lists the whole command line.
 func (g *program) commands() []command {
 	return []command{
-		g.serveCommand(), g.demoCommand(), g.checkCommand(), g.applyCommand(), g.getCommand(),
+		g.serveCommand(),
+		g.hostedCommand("edge", "run one instance on a hosted platform; CATKINHEAD_BOOT names its settings file", serveHosted),
+		g.hostedCommand("storage", "run beside a disk on a hosted platform", serveStorage),
+		g.demoCommand(), g.checkCommand(), g.applyCommand(), g.getCommand(),
 		g.workspaceCommand(), g.keyCommand(), g.routeCommand(), g.poolCommand(), g.targetCommand(),
 		g.stepCommand(), g.drainCommand(), g.dumpCommand(), g.replayCommand(), g.loadCommand(),
 		g.versionCommand(),
--- /dev/null
+++ b/internal/cli/hosted.go
@@ -0,0 +1,231 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/pprof"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/integrii/flaggy"
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+
+	"github.com/catkinhead/catkinhead/internal/edge"
+	"github.com/catkinhead/catkinhead/internal/logs"
+	"github.com/catkinhead/catkinhead/pkg/clock"
+	base "github.com/catkinhead/catkinhead/pkg/platform"
+	"github.com/catkinhead/catkinhead/platform"
+)
+
+const (
+	// hostedStoreTimeout bounds a call to the store, which answers in
+	// milliseconds unless it is slow or away.
+	hostedStoreTimeout = time.Second
+	// hostedOrderTimeout bounds an order to a target and a call to the cloud.
+	hostedOrderTimeout = time.Second
+	// hostedIdle is how long a caller's connection may be idle: longer than
+	// callers keep one.
+	hostedIdle = 60 * time.Second
+	// hostedHeader bounds the time for a request's headers.
+	hostedHeader = 5 * time.Second
+	// memoryPart is the part of the memory limit that the collector aims at.
+	memoryPart = 0.6
+	// stopSpare is kept of the time between the stop signal and the kill.
+	stopSpare = 1200 * time.Millisecond
+	// stopPoll is the time between looks whether a stopping instance is idle.
+	stopPoll = 50 * time.Millisecond
+	// readyLag is how long after the stop signal callers may still be sent
+	// here: two looks of the balancer, a second apart.
+	readyLag = 2500 * time.Millisecond
+)
+
+// hostedFlags are the settings of a hosted instance beside the platform's file.
+type hostedFlags struct {
+	logLevel string
+	metrics  string
+}
+
+func (g *program) hostedCommand(name, help string, run func(context.Context, hostedFlags, io.Writer) error) command {
+	f := hostedFlags{logLevel: "info", metrics: ":9464"}
+	return command{
+		name: name, help: help,
+		flags: func(s *flaggy.Subcommand) {
+			s.String(&f.logLevel, "", "log-level", "debug, info, warning or error")
+			s.String(&f.metrics, "", "metrics", "host:port for metrics and dumps")
+		},
+		run: func(ctx context.Context) error { return run(ctx, f, g.out) },
+	}
+}
+
+// serveHosted runs an instance that callers reach until ctx ends.
+func serveHosted(ctx context.Context, f hostedFlags, out io.Writer) error {
+	ignoreSignals()
+	logCtx, endLog := context.WithCancel(context.Background())
+	sink := logs.NewSink(logCtx, out)
+	defer func() { _ = sink.Wait() }()
+	defer endLog()
+	level, err := logrus.ParseLevel(f.logLevel)
+	if err != nil {
+		return fmt.Errorf("log level: %w", err)
+	}
+	log := logs.New(level, sink)
+	site, err := platform.LoadSettings()
+	if err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	if site.Memory > 0 {
+		debug.SetMemoryLimit(int64(float64(site.Memory) * memoryPart))
+	}
+	app := fx.New(
+		fx.NopLogger, fx.Supply(site, f), fx.Supply(log),
+		fx.StopTimeout(site.Terms.StopWithin),
+		fx.Provide(func() clock.Clock { return clock.System{} }, newHosted),
+		fx.Invoke(listenHosted),
+	)
+	if err := app.Start(ctx); err != nil {
+		return fmt.Errorf("start: %w", err)
+	}
+	log.WithFields(logrus.Fields{"Instance": site.Instance, "DataCentre": site.DataCentre, "Front": site.Front}).Info("started")
+	<-ctx.Done()
+	stop, cancel := context.WithTimeout(context.Background(), site.Terms.StopWithin)
+	defer cancel()
+	if err := app.Stop(stop); err != nil {
+		return fmt.Errorf("stop: %w", err)
+	}
+	log.WithField("LinesDropped", sink.Dropped()).Info("stopped")
+	return nil
+}
+
+// ignoreSignals keeps a reload of the settings file, which is read at each
+// start, and writes to closed connections from ending the process.
+func ignoreSignals() {
+	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
+}
+
+func newHosted(site base.Site, c clock.Clock, log *logrus.Logger) (*edge.Process, error) {
+	store := platform.NewStore(site.Store, hostedStoreTimeout)
+	var relay *edge.Relay
+	store.Through(func(direct http.RoundTripper) http.RoundTripper {
+		relay = edge.NewRelay(c, site.Store, direct)
+		return relay
+	})
+	backends := platform.NewBackends(c, hostedOrderTimeout)
+	return edge.New(site, edge.Outside{
+		Store: store,
+		Kinds: edge.Kinds{
+			Configuration: platform.KindConfiguration, Targets: platform.KindTargets, Versions: platform.KindVersions,
+		},
+		Source: platform.Source{}, Ingress: platform.Ingress{}, Backends: backends, Orders: backends,
+		Counts: platform.NewCloud(site.Cloud, c, hostedOrderTimeout), StoreCalls: store.Calls.Load,
+	}, relay, c, log)
+}
+
+// listenHosted opens the listeners with the application's start and stops
+// gracefully with its end.
+func listenHosted(lc fx.Lifecycle, site base.Site, f hostedFlags, p *edge.Process, log *logrus.Logger) {
+	front := &http.Server{Handler: p, ReadHeaderTimeout: hostedHeader, IdleTimeout: hostedIdle}
+	servers := map[string]*http.Server{
+		site.Front: front,
+		site.Ready: {Handler: p.ReadyHandler()},
+		net.JoinHostPort(site.IP, fmt.Sprint(site.PeerPort)): {Handler: p.PeerHandler()},
+		f.metrics: {Handler: observed(p)},
+	}
+	ended := make(chan error, len(servers))
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			p.Run(context.Background())
+			for address, s := range servers {
+				if address == "" {
+					ended <- nil
+					continue
+				}
+				ln, err := net.Listen("tcp", address)
+				if err != nil {
+					return fmt.Errorf("listen on %s: %w", address, err)
+				}
+				go func() { ended <- s.Serve(ln) }()
+			}
+			return nil
+		},
+		OnStop: func(ctx context.Context) error {
+			stopHosted(ctx, site, front, p, log)
+			for _, s := range servers {
+				if err := s.Close(); err != nil {
+					log.WithField("Error", err.Error()).Warn("listener not closed")
+				}
+			}
+			p.Stop()
+			for range servers {
+				if err := <-ended; err != nil && !errors.Is(err, http.ErrServerClosed) {
+					return fmt.Errorf("serve: %w", err)
+				}
+			}
+			return nil
+		},
+	})
+}
+
+// stopHosted turns the instance unready, serves what the balancer still sends,
+// and waits until all work is finished or handed over.
+func stopHosted(ctx context.Context, site base.Site, front *http.Server, p *edge.Process, log *logrus.Logger) {
+	began := time.Now()
+	p.Drain()
+	limit := max(site.Terms.StopWithin-stopSpare, time.Second)
+	lag := min(readyLag, limit/2)
+	for time.Since(began) < limit && ctx.Err() == nil {
+		if time.Since(began) >= lag && p.Idle() {
+			break
+		}
+		time.Sleep(stopPoll)
+	}
+	left := limit - time.Since(began)
+	if left <= 0 {
+		log.Warn("planned stop ends with work left")
+		return
+	}
+	stop, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+	if err := front.Shutdown(stop); err != nil {
+		log.WithField("Error", err.Error()).Warn("planned stop ends with connections left")
+	}
+}
+
+// observed serves metrics, the state and profiles.
+func observed(p *edge.Process) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/metrics", p.WriteMetrics)
+	mux.HandleFunc("/dump", p.WriteDump)
+	mux.HandleFunc("/debug/pprof/", pprof.Index)
+	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	return mux
+}
+
+// serveStorage runs on an instance with a disk. Everything that lasts lives in
+// the platform's store, so it only answers when its instance is to be retired:
+// nothing has to be moved.
+func serveStorage(ctx context.Context, f hostedFlags, out io.Writer) error {
+	ignoreSignals()
+	level, err := logrus.ParseLevel(f.logLevel)
+	if err != nil {
+		return fmt.Errorf("log level: %w", err)
+	}
+	log := logs.New(level, out)
+	site, err := platform.LoadSettings()
+	if err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	log.WithField("Instance", site.Instance).Info("started")
+	store := platform.NewStore(site.Store, hostedStoreTimeout)
+	retire := edge.Retire{Feed: store, Log: log, Kind: platform.KindRetirements, Instance: site.Instance}
+	retire.Complete = func(ctx context.Context) error { return store.CompleteRetirement(ctx, string(site.Instance)) }
+	retire.Run(ctx)
+	log.Info("stopped")
+	return nil
+}
--- /dev/null
+++ b/internal/edge/content.go
@@ -0,0 +1,159 @@
+package edge
+
+import (
+	"encoding/json"
+	"strings"
+	"sync"
+
+	"github.com/catkinhead/catkinhead/internal/op"
+	"github.com/catkinhead/catkinhead/pkg/platform"
+	"github.com/catkinhead/catkinhead/pkg/unit"
+)
+
+// Content keeps the bodies, texts and results of the jobs at hand, which the
+// reducer does not see.
+type Content struct {
+	mu   sync.Mutex
+	jobs map[string]*jobContent
+}
+
+// jobContent is the content of one job.
+type jobContent struct {
+	record jobRecord
+	job    platform.Job
+	// index maps an item's id to its number.
+	index map[string]int
+	// results stand in the store, in this order.
+	results []platform.Result
+	ended   bool
+	texts   []text
+	// changed is closed and replaced whenever results or ended change.
+	changed chan struct{}
+}
+
+// text is the kept output of an item: whole events only.
+type text struct {
+	events   []string
+	versions []unit.Version
+	last     int64
+}
+
+// jobRecord is a job as it stands in the store.
+type jobRecord struct {
+	Workspace unit.Workspace
+	Route     unit.Route
+	Pool      unit.Pool
+	Host      string
+	// SubmittedAt is the Unix time in milliseconds of the first submission.
+	SubmittedAt int64
+	// Body is the job as it was submitted.
+	Body json.RawMessage
+}
+
+// chunkRecord is a chunk of a job's results as it stands in the store.
+type chunkRecord struct {
+	Results []platform.Result
+	Ended   bool
+}
+
+func newContent() *Content { return &Content{jobs: make(map[string]*jobContent)} }
+
+func newJobContent(record jobRecord, job platform.Job) *jobContent {
+	c := &jobContent{
+		record: record, job: job, index: make(map[string]int, len(job.Items)),
+		texts: make([]text, len(job.Items)), changed: make(chan struct{}),
+	}
+	for i, it := range job.Items {
+		c.index[it.ID] = i
+		c.texts[i].last = -1
+	}
+	return c
+}
+
+// put adds a job unless it is there already.
+func (c *Content) put(id string, j *jobContent) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.jobs[id] == nil {
+		c.jobs[id] = j
+	}
+}
+
+func (c *Content) forget(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if j := c.jobs[id]; j != nil {
+		close(j.changed)
+		delete(c.jobs, id)
+	}
+}
+
+// with runs f on a job's content; it returns false if there is none.
+func (c *Content) with(id string, f func(*jobContent)) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	j := c.jobs[id]
+	if j == nil {
+		return false
+	}
+	f(j)
+	return true
+}
+
+// add appends a chunk that stands in the store and frees the texts in it.
+func (j *jobContent) add(chunk chunkRecord) op.ChunkShape {
+	shape := op.ChunkShape{Ended: chunk.Ended}
+	for _, r := range chunk.Results {
+		j.results = append(j.results, r)
+		if i, ok := j.index[r.ID]; ok {
+			shape.Items = append(shape.Items, i)
+			j.texts[i].events = nil
+		}
+	}
+	j.ended = j.ended || chunk.Ended
+	if j.ended {
+		for i := range j.texts {
+			j.texts[i].events = nil
+		}
+	}
+	close(j.changed)
+	j.changed = make(chan struct{})
+	return shape
+}
+
+// chunk makes the record of a chunk from the texts at hand.
+func (j *jobContent) chunk(e op.AppendChunk) chunkRecord {
+	c := chunkRecord{Ended: e.Ended}
+	for _, i := range e.Done {
+		t := &j.texts[i]
+		c.Results = append(c.Results, platform.Result{
+			ID: j.job.Items[i].ID, Text: strings.Join(t.events, "\n"), Versions: t.versions,
+		})
+	}
+	for _, i := range e.GivenUp {
+		c.Results = append(c.Results, platform.Result{ID: j.job.Items[i].ID, GivenUp: true})
+	}
+	return c
+}
+
+// shape is what decisions need of the job.
+func (j *jobContent) shape() op.JobShape {
+	s := op.JobShape{
+		ID: j.job.ID, Workspace: j.record.Workspace, Route: j.record.Route, Pool: j.record.Pool,
+		MinVersion: j.job.MinVersion, WantGroups: j.job.WantGroups,
+	}
+	for _, it := range j.job.Items {
+		s.Items = append(s.Items, op.ItemShape{Group: it.Group, Model: it.Model, Tokens: it.Tokens, Expected: it.Expected})
+	}
+	return s
+}
+
+// listedItem tells whether an item has a result.
+func (j *jobContent) listedItem(id string) bool {
+	for _, r := range j.results {
+		if r.ID == id {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/edge/duties.go
@@ -0,0 +1,124 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/catkinhead/catkinhead/internal/op"
+	"github.com/catkinhead/catkinhead/pkg/platform"
+	"github.com/catkinhead/catkinhead/pkg/unit"
+)
+
+const (
+	// leasesKind holds the leases.
+	leasesKind = "leases"
+	// windowsKind holds the sealed counts of each window.
+	windowsKind = "windows"
+)
+
+func (p *Process) readLease(ctx context.Context, e op.ReadLease) {
+	end := op.LeaseRead{Scope: e.Scope, Result: op.Done}
+	o, err := p.out.Store.Get(ctx, leasesKind+"/"+string(e.Scope))
+	if err == nil {
+		end.Revision = o.Revision
+		err = json.Unmarshal(o.Value, &end.Record)
+	}
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		end.Result = op.Lost
+		p.log.WithFields(logrus.Fields{"Scope": e.Scope, "Error": err.Error()}).Warn("lease not read")
+	}
+	p.apply(end)
+}
+
+func (p *Process) writeLease(ctx context.Context, e op.WriteLease) {
+	end := op.LeaseWritten{Scope: e.Scope, Record: e.Record, SentAt: p.clock.Now()}
+	value, err := json.Marshal(e.Record)
+	if err == nil {
+		end.Revision, err = p.out.Store.Put(ctx, leasesKind+"/"+string(e.Scope), value, e.IfRev)
+	}
+	end.Result = resultOf(err)
+	if err != nil {
+		p.log.WithFields(logrus.Fields{"Scope": e.Scope, "Result": end.Result, "Error": err.Error()}).Warn("lease not written")
+	}
+	p.apply(end)
+}
+
+// resultOf tells what is known of a call's effect.
+func resultOf(err error) op.Result {
+	switch {
+	case err == nil:
+		return op.Done
+	case errors.Is(err, platform.ErrConflict):
+		return op.Conflict
+	case notRun(err), errors.Is(err, platform.ErrLeaseEnded), errors.Is(err, platform.ErrStaleFence):
+		return op.Refused
+	}
+	return op.Lost
+}
+
+func (p *Process) orderVersion(ctx context.Context, e op.OrderVersion) {
+	o := e.Order
+	sent := p.clock.Now()
+	err := p.out.Orders.SendVersion(ctx, o)
+	end := op.OrderEnded{Target: o.Target, Model: o.Model, Version: o.Version, Result: resultOf(err)}
+	fields := logrus.Fields{
+		"Target": o.Target, "Model": o.Model, "Version": o.Version, "Fence": o.Fence, "Result": end.Result,
+		"TookMillis": p.clock.Now() - sent, "LeaseLeftMillis": o.SendBefore - sent,
+	}
+	if err != nil {
+		fields["Error"] = err.Error()
+	}
+	p.log.WithFields(fields).Info("version ordered")
+	p.apply(end)
+}
+
+// windowRecord is a sealed window as it stands in the store.
+type windowRecord struct {
+	Counts map[unit.Workspace]int64
+}
+
+// sealCounts writes a window's counts unless some stand there, and returns what
+// stands there.
+func (p *Process) sealCounts(ctx context.Context, e op.SealCounts) {
+	end := op.CountsSealed{Window: e.Window, Result: op.Done, Counts: e.Counts}
+	key := fmt.Sprintf("%s/%d", windowsKind, e.Window)
+	value, err := json.Marshal(windowRecord{e.Counts})
+	if err == nil {
+		_, err = p.out.Store.Put(ctx, key, value, 0)
+	}
+	if errors.Is(err, platform.ErrConflict) {
+		var o platform.Object
+		var sealed windowRecord
+		if o, err = p.out.Store.Get(ctx, key); err == nil {
+			err = json.Unmarshal(o.Value, &sealed)
+			end.Counts = sealed.Counts
+		}
+	}
+	if err != nil {
+		end.Result = op.Lost
+		p.log.WithFields(logrus.Fields{"Window": e.Window, "Error": err.Error()}).Warn("window not sealed")
+	}
+	p.apply(end)
+}
+
+func (p *Process) sendCounts(ctx context.Context, e op.SendCounts) {
+	err := p.out.Counts.SendCounts(ctx, e.Report)
+	result := resultOf(err)
+	total := int64(0)
+	for _, n := range e.Report.Counts {
+		total += n
+	}
+	fields := logrus.Fields{
+		"Window": e.Report.Window, "Requests": total, "Fence": e.Report.Fence, "Result": result,
+		"WallMillis": int64(p.clock.Wall()),
+	}
+	if err != nil {
+		fields["Error"] = err.Error()
+	}
+	p.log.WithFields(fields).Info("window reported")
+	p.apply(op.CountsSent{Window: e.Report.Window, Result: result})
+}
--- /dev/null
+++ b/internal/edge/peers.go
@@ -0,0 +1,231 @@
+package edge
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/sirupsen/logrus"
+
+	"github.com/catkinhead/catkinhead/internal/op"
+	"github.com/catkinhead/catkinhead/pkg/clock"
+	"github.com/catkinhead/catkinhead/pkg/platform"
+	"github.com/catkinhead/catkinhead/pkg/platform/link"
+	"github.com/catkinhead/catkinhead/pkg/unit"
+)
+
+const (
+	// instancesKind holds the address of each instance.
+	instancesKind = "instances"
+	// beatBytes bounds a heartbeat.
+	beatBytes = 60 << 10
+	// peerTimeout bounds a call to a peer, beyond the wait that it asks for.
+	peerTimeout = 700 * time.Millisecond
+	// peerAnswer bounds the answer of a peer, in bytes.
+	peerAnswer = 4 << 20
+	// registerPause is the pause after a failed registration.
+	registerPause = 500 * time.Millisecond
+)
+
+// peers is the traffic between instances: heartbeats in datagrams, and calls.
+type peers struct {
+	beats *net.UDPConn
+	http  *http.Client
+}
+
+func newPeers(site platform.Site) (*peers, error) {
+	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.ParseIP(site.IP), Port: site.PeerPort})
+	if err != nil {
+		return nil, fmt.Errorf("listen for heartbeats: %w", err)
+	}
+	return &peers{beats: conn, http: link.Client(4, true, nil)}, nil
+}
+
+func (x *peers) close() { x.beats.Close() }
+
+func (p *Process) sendBeats(e op.SendBeats) {
+	b, err := json.Marshal(e.Beat)
+	if err != nil {
+		p.log.WithField("Error", err.Error()).Error("heartbeat not encoded")
+		return
+	}
+	for _, address := range e.Addresses {
+		to, err := net.ResolveUDPAddr("udp", address)
+		if err != nil {
+			p.log.WithFields(logrus.Fields{"Address": address, "Error": err.Error()}).Warn("peer has no usable address")
+			continue
+		}
+		// A datagram may be lost in any case; the next one follows soon.
+		_, _ = p.peers.beats.WriteToUDP(b, to)
+	}
+}
+
+func (p *Process) receiveBeats(ctx context.Context) {
+	buf := make([]byte, beatBytes)
+	for ctx.Err() == nil {
+		n, _, err := p.peers.beats.ReadFromUDP(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		var b op.Beat
+		if err := json.Unmarshal(buf[:n], &b); err != nil || b.Instance == "" {
+			p.log.WithField("Bytes", n).Warn("datagram is no heartbeat")
+			continue
+		}
+		p.apply(op.BeatHeard{Beat: b})
+	}
+}
+
+// instanceRecord is an instance as it stands in the store.
+type instanceRecord struct{ Address string }
+
+// followInstances registers this instance and learns of the others.
+func (p *Process) followInstances(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := p.register(ctx)
+		if err == nil {
+			break
+		}
+		p.log.WithField("Error", err.Error()).Warn("instance not registered")
+		select {
+		case <-time.After(registerPause):
+		case <-ctx.Done():
+		}
+	}
+	f := &feed{p: p, kind: instancesKind, wait: instancesWait}
+	f.listed = func(objects []platform.Object) {
+		e := op.PeersListed{Peers: make(map[unit.Instance]string)}
+		for _, o := range objects {
+			p.peerRecord(o, e.Peers)
+		}
+		p.apply(e)
+	}
+	f.changed = func(c platform.Change) {
+		e := op.PeersListed{Peers: make(map[unit.Instance]string)}
+		if !c.Deleted {
+			p.peerRecord(c.Object, e.Peers)
+		}
+		p.apply(e)
+	}
+	f.run(ctx)
+}
+
+func (p *Process) peerRecord(o platform.Object, into map[unit.Instance]string) {
+	var r instanceRecord
+	if err := json.Unmarshal(o.Value, &r); err != nil {
+		p.log.WithFields(logrus.Fields{"Object": o.Key, "Error": err.Error()}).Warn("record of an instance is not readable")
+		return
+	}
+	into[unit.Instance(nameOf(o))] = r.Address
+}
+
+func nameOf(o platform.Object) string {
+	_, name, _ := strings.Cut(o.Key, "/")
+	return name
+}
+
+// register writes this instance's address, unless it stands there.
+func (p *Process) register(ctx context.Context) error {
+	key := instancesKind + "/" + string(p.site.Instance)
+	value, err := json.Marshal(instanceRecord{Address: p.state.PeerAddress()})
+	if err != nil {
+		return fmt.Errorf("encode record: %w", err)
+	}
+	o, err := p.out.Store.Get(ctx, key)
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		_, err = p.out.Store.Put(ctx, key, value, 0)
+	case err == nil && !bytes.Equal(bytes.TrimSpace(o.Value), value):
+		_, err = p.out.Store.Put(ctx, key, value, o.Revision)
+	}
+	if err != nil {
+		return fmt.Errorf("register: %w", err)
+	}
+	return nil
+}
+
+// askOwner passes a call about a job on to its owner. An answer of status 0
+// means that no owner could answer.
+func (p *Process) askOwner(ctx context.Context, w unit.Workspace, call platform.BatchRequest, wait clock.Millis) batchAnswer {
+	var address string
+	p.ask(func(now clock.Millis, s *State) {
+		if peer, ok := s.Beats.Owner(now, call.Job); ok {
+			address = peer.Address
+		}
+	})
+	if address == "" {
+		return batchAnswer{}
+	}
+	limit := wait.Duration() + peerTimeout
+	if call.Call == platform.EndJob {
+		limit = endWithin.Duration() + peerTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	q := url.Values{}
+	q.Set("Workspace", string(w))
+	q.Set("Call", strconv.Itoa(int(call.Call)))
+	q.Set("Item", call.Item)
+	q.Set("From", strconv.Itoa(call.From))
+	q.Set("WaitMillis", strconv.FormatInt(int64(wait), 10))
+	u := "http://" + address + "/v1/jobs/" + url.PathEscape(call.Job) + "?" + q.Encode()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, u, nil)
+	if err != nil {
+		return batchAnswer{}
+	}
+	res, err := p.peers.http.Do(req)
+	if err != nil {
+		p.log.WithFields(logrus.Fields{"Job": call.Job, "Owner": address, "Error": err.Error()}).Warn("owner did not answer")
+		return batchAnswer{}
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(res.Body, peerAnswer))
+	if err != nil || res.StatusCode == http.StatusGone {
+		return batchAnswer{}
+	}
+	return batchAnswer{status: res.StatusCode, body: body}
+}
+
+// PeerHandler serves peers: calls about jobs, and calls to the store for peers
+// that cannot reach it.
+func (p *Process) PeerHandler() http.Handler {
+	gin.SetMode(gin.ReleaseMode)
+	g := gin.New()
+	g.Use(gin.Recovery())
+	g.POST("/v1/jobs/:job", p.servePeerJob)
+	if p.relay != nil {
+		g.Any(relayPath+"*path", gin.WrapH(p.relay.Handler()))
+	}
+	return g
+}
+
+func (p *Process) servePeerJob(c *gin.Context) {
+	number := func(name string) int {
+		n, err := strconv.Atoi(c.Query(name))
+		if err != nil {
+			return 0
+		}
+		return n
+	}
+	call := platform.BatchRequest{
+		Call: platform.BatchCall(number("Call")), Job: c.Param("job"), Item: c.Query("Item"), From: number("From"),
+	}
+	a := p.localBatch(c.Request.Context(), unit.Workspace(c.Query("Workspace")), call, clock.Millis(number("WaitMillis")))
+	if a.status == 0 {
+		a.status = http.StatusGone
+	}
+	c.Data(a.status, "application/octet-stream", a.body)
+}
--- /dev/null
+++ b/internal/edge/process.go
@@ -0,0 +1,234 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/catkinhead/catkinhead/internal/op"
+	"github.com/catkinhead/catkinhead/internal/task"
+	"github.com/catkinhead/catkinhead/pkg/clock"
+	"github.com/catkinhead/catkinhead/pkg/platform"
+	"github.com/catkinhead/catkinhead/pkg/unit"
+)
+
+// tickEvery is the time between ticks.
+const tickEvery = 50 * time.Millisecond
+
+// ObjectStore is what an instance needs of the platform's store.
+type ObjectStore interface {
+	platform.Store
+	platform.Feed
+}
+
+// Kinds names the kinds of objects that others write.
+type Kinds struct{ Configuration, Targets, Versions string }
+
+// Outside is everything outside the process, behind interfaces.
+type Outside struct {
+	Store    ObjectStore
+	Kinds    Kinds
+	Source   platform.Source
+	Ingress  platform.Ingress
+	Backends platform.Backends
+	Orders   platform.VersionOrders
+	Counts   platform.CountIntake
+	// StoreCalls returns how many calls the store was sent.
+	StoreCalls func() int64
+}
+
+// Process is one running instance on a hosted platform.
+type Process struct {
+	site    platform.Site
+	out     Outside
+	clock   clock.Clock
+	log     *logrus.Entry
+	tasks   *task.Group
+	metrics *metrics.Set
+	content *Content
+	peers   *peers
+	// mu guards state: events are applied one after another.
+	mu    sync.Mutex
+	state *State
+	// calls holds the mailbox of each caller's request under way.
+	calls  sync.Map
+	nextID atomic.Int64
+	// runs holds the cancel function of each run of an item.
+	runs   sync.Map
+	active atomic.Int64
+	relay  *Relay
+}
+
+// New returns a process that does not run yet.
+func New(site platform.Site, out Outside, relay *Relay, c clock.Clock, log *logrus.Logger) (*Process, error) {
+	self := unit.Incarnation(fmt.Sprintf("%s#%020d", site.Instance, time.Now().UnixMicro()))
+	p := &Process{
+		site: site, out: out, clock: c, content: newContent(), relay: relay,
+		log:   log.WithFields(logrus.Fields{"Instance": site.Instance}),
+		state: NewState(site, self, c.Now()),
+	}
+	var err error
+	if p.peers, err = newPeers(site); err != nil {
+		return nil, err
+	}
+	if relay != nil {
+		relay.peers = p.livePeers
+	}
+	p.metrics = p.newMetrics()
+	return p, nil
+}
+
+// Run starts the process's goroutines and returns. Stop ends them.
+func (p *Process) Run(ctx context.Context) {
+	p.tasks = task.New(ctx)
+	p.tasks.Go(p.tick)
+	p.tasks.Go(p.receiveBeats)
+	p.tasks.Go(p.followConfiguration)
+	p.tasks.Go(p.followTargets)
+	p.tasks.Go(p.followVersions)
+	p.tasks.Go(p.followInstances)
+}
+
+// Stop ends all goroutines and waits for them.
+func (p *Process) Stop() {
+	p.peers.close()
+	p.tasks.Stop()
+}
+
+func (p *Process) tick(ctx context.Context) {
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	for {
+		p.apply(op.Tick{Wall: p.clock.Wall()})
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// apply reduces an event and carries its effects out. No effect waits.
+func (p *Process) apply(ev op.Event) {
+	p.mu.Lock()
+	effects := p.state.Reduce(p.clock.Now(), ev)
+	p.mu.Unlock()
+	for _, e := range effects {
+		p.do(e)
+	}
+}
+
+// ask runs f on the state between two events.
+func (p *Process) ask(f func(now clock.Millis, s *State)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f(p.clock.Now(), p.state)
+}
+
+func (p *Process) do(e op.Effect) {
+	switch e := e.(type) {
+	case op.PassOn:
+		p.deliver(e.Call, e)
+	case op.Respond:
+		p.deliver(e.Call, e)
+	case op.TakeJob:
+		p.deliver(e.Call, e)
+	case op.ServeBatch:
+		p.deliver(e.Call, e)
+	case op.JobEnded:
+		p.deliver(e.Call, e)
+	case op.RunItem:
+		p.runItem(e)
+	case op.StopItem:
+		p.stopItem(e)
+	case op.AppendChunk:
+		p.tasks.Go(func(ctx context.Context) { p.appendChunk(ctx, e) })
+	case op.JobListed:
+		p.log.WithFields(logrus.Fields{"Job": e.Job, "Items": len(e.Chunk.Items), "Listed": e.Total, "Ended": e.Chunk.Ended}).Info("results listed")
+	case op.ForgetJob:
+		p.content.forget(e.Job)
+	case op.TakeOver:
+		p.tasks.Go(func(ctx context.Context) { p.takeOver(ctx, e) })
+	case op.ListJobs:
+		p.tasks.Go(p.listJobs)
+	case op.SendBeats:
+		p.sendBeats(e)
+	case op.ReadLease:
+		p.tasks.Go(func(ctx context.Context) { p.readLease(ctx, e) })
+	case op.WriteLease:
+		p.tasks.Go(func(ctx context.Context) { p.writeLease(ctx, e) })
+	case op.OrderVersion:
+		p.tasks.Go(func(ctx context.Context) { p.orderVersion(ctx, e) })
+	case op.SealCounts:
+		p.tasks.Go(func(ctx context.Context) { p.sealCounts(ctx, e) })
+	case op.SendCounts:
+		p.tasks.Go(func(ctx context.Context) { p.sendCounts(ctx, e) })
+	case op.Note:
+		p.note(e)
+	}
+}
+
+func (p *Process) note(e op.Note) {
+	fields := make(logrus.Fields, len(e.Fields))
+	for k, v := range e.Fields {
+		fields[k] = v
+	}
+	level, err := logrus.ParseLevel(e.Level)
+	if err != nil {
+		level = logrus.InfoLevel
+	}
+	p.log.WithFields(fields).Log(level, e.Message)
+}
+
+// Drain begins the planned stop.
+func (p *Process) Drain() {
+	p.log.Info("planned stop begins")
+	p.apply(op.Drain{})
+}
+
+// Idle tells whether nothing is left that a planned stop waits for.
+func (p *Process) Idle() bool {
+	idle := false
+	p.ask(func(_ clock.Millis, s *State) { idle = s.Forward.Idle() && len(s.Batch.Jobs) == 0 })
+	return idle && p.active.Load() == 0
+}
+
+func (p *Process) livePeers() []string {
+	var out []string
+	p.ask(func(now clock.Millis, s *State) {
+		for _, peer := range s.Beats.LivePeers(now) {
+			if !peer.Leaving {
+				out = append(out, peer.Address)
+			}
+		}
+	})
+	return out
+}
+
+func (p *Process) newMetrics() *metrics.Set {
+	set := metrics.NewSet()
+	set.NewGauge("catkinhead_store_calls_total", func() float64 { return float64(p.out.StoreCalls()) })
+	set.NewGauge("catkinhead_requests_running", func() float64 { return float64(p.active.Load()) })
+	set.NewGauge("catkinhead_configuration_age_seconds", func() float64 {
+		age := 0.0
+		p.ask(func(now clock.Millis, s *State) { age = float64(s.Age(now)) / float64(clock.Second) })
+		return age
+	})
+	set.NewGauge("catkinhead_targets", func() float64 {
+		n := 0
+		p.ask(func(_ clock.Millis, s *State) { n = len(s.Roster.Targets) })
+		return float64(n)
+	})
+	return set
+}
+
+// observe notes how long something took under its outcome.
+func (p *Process) observe(name, label, value string, since clock.Millis) {
+	full := fmt.Sprintf("%s{%s=%q}", name, label, value)
+	p.metrics.GetOrCreateHistogram(full).Update((p.clock.Now() - since).Duration().Seconds())
+}
--- /dev/null
+++ b/internal/edge/retire.go
@@ -0,0 +1,84 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/catkinhead/catkinhead/pkg/platform"
+	"github.com/catkinhead/catkinhead/pkg/unit"
+)
+
+const (
+	// retireWait is how long a watch for retirements waits.
+	retireWait = 20 * time.Second
+	// retirePause is the pause after a failed call.
+	retirePause = 500 * time.Millisecond
+)
+
+// Retire completes the retirement of an instance that keeps nothing.
+type Retire struct {
+	Feed     platform.Feed
+	Log      *logrus.Logger
+	Kind     string
+	Instance unit.Instance
+	// Complete tells the operator that the instance may be removed.
+	Complete func(context.Context) error
+	done     bool
+}
+
+// Run waits for the instance's retirement until ctx ends.
+func (r *Retire) Run(ctx context.Context) {
+	var rev unit.Revision
+	for ctx.Err() == nil {
+		next, err := r.step(ctx, rev)
+		if errors.Is(err, platform.ErrHistoryGone) {
+			rev = 0
+			continue
+		}
+		if err == nil {
+			rev = next
+			continue
+		}
+		if ctx.Err() == nil {
+			r.Log.WithField("Error", err.Error()).Warn("retirements not read")
+		}
+		select {
+		case <-time.After(retirePause):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (r *Retire) step(ctx context.Context, rev unit.Revision) (unit.Revision, error) {
+	var objects []platform.Object
+	var next unit.Revision
+	var err error
+	if rev == 0 {
+		objects, next, err = r.Feed.ListKind(ctx, r.Kind)
+	} else {
+		var changes []platform.Change
+		changes, next, err = r.Feed.Follow(ctx, r.Kind, rev, retireWait)
+		for _, c := range changes {
+			if !c.Deleted {
+				objects = append(objects, c.Object)
+			}
+		}
+	}
+	if err != nil {
+		return rev, err
+	}
+	for _, o := range objects {
+		if nameOf(o) != string(r.Instance) || r.done {
+			continue
+		}
+		if err := r.Complete(ctx); err != nil {
+			return rev, err
+		}
+		r.done = true
+		r.Log.Info("retirement completed: nothing is kept here")
+	}
+	return max(next, rev), nil
+}
--- /dev/null
+++ b/internal/edge/state.go
@@ -0,0 +1,328 @@
+package edge
+
+import (
+	"net"
+	"strconv"
+
+	"github.com/catkinhead/catkinhead/internal/batch"
+	"github.com/catkinhead/catkinhead/internal/beat"
+	"github.com/catkinhead/catkinhead/internal/forward"
+	"github.com/catkinhead/catkinhead/internal/lease"
+	"github.com/catkinhead/catkinhead/internal/op"
+	"github.com/catkinhead/catkinhead/internal/roll"
+	"github.com/catkinhead/catkinhead/internal/roster"
+	"github.com/catkinhead/catkinhead/internal/route"
+	"github.com/catkinhead/catkinhead/internal/tally"
+	"github.com/catkinhead/catkinhead/pkg/clock"
+	"github.com/catkinhead/catkinhead/pkg/platform"
+	"github.com/catkinhead/catkinhead/pkg/unit"
+)
+
+// Duties is the lease of everything that one instance does for all.
+const Duties unit.Scope = "duties"
+
+const (
+	// freshPart is the part of the bound of withdrawn keys within which the
+	// configuration must have been confirmed; the rest is left for a watch that
+	// is silent for a second while there are changes.
+	freshPart = 0.7
+	// standAfter is how long an instance waits for a holder's heartbeat before
+	// it stands for the lease.
+	standAfter clock.Millis = 600
+)
+
+// State is all that an instance decides on.
+type State struct {
+	Site    platform.Site
+	Self    unit.Incarnation
+	Roster  roster.State
+	Table   *route.Table
+	Forward forward.State
+	Batch   batch.State
+	Roll    roll.State
+	Tally   tally.State
+	Leases  lease.State
+	Beats   beat.State
+	// ConfirmedAt is when the configuration in force was known to be the
+	// newest; Confirmed is set once it was.
+	ConfirmedAt clock.Millis
+	Confirmed   bool
+	// StoreDownAt is when the store was last found silent, 0 while it answers.
+	StoreDownAt clock.Millis
+	// WallAt is the Unix time at TickAt.
+	WallAt, TickAt clock.Millis
+	Draining       bool
+	started        clock.Millis
+	seq            int64
+	beatAt         clock.Millis
+	wasFresh       bool
+}
+
+// NewState returns the state of an instance at its start.
+func NewState(site platform.Site, self unit.Incarnation, now clock.Millis) *State {
+	return &State{
+		Site: site, Self: self, started: now,
+		Roster: roster.State{Here: site.DataCentre},
+		Tally:  tally.State{Self: self, Length: clock.Of(site.Terms.Window)},
+		Leases: lease.State{Self: self},
+		Beats:  beat.State{Self: site.Instance},
+	}
+}
+
+// Reduce takes an event and returns its effects.
+func (s *State) Reduce(now clock.Millis, ev op.Event) op.List {
+	var out op.List
+	switch e := ev.(type) {
+	case op.Tick:
+		s.tick(now, e, &out)
+	case op.Asked, op.Passed, op.Left:
+		s.Forward.Reduce(now, ev, s.forwardView(now), &out)
+	case op.TableChanged:
+		s.tableChanged(now, e, &out)
+	case op.StoreHeard:
+		s.storeHeard(now, e)
+	case op.StoreSilent:
+		if s.StoreDownAt == 0 {
+			s.StoreDownAt = now
+		}
+	case op.TargetsListed:
+		s.Roster.Listed(now, e.Entries)
+		s.advance(now, &out)
+	case op.TargetChanged:
+		if e.Removed {
+			s.Roster.Removed(now, e.Entry.Target)
+		} else {
+			s.Roster.Changed(now, e.Entry)
+		}
+		s.advance(now, &out)
+	case op.VersionSeen:
+		s.Roster.VersionSeen(e.Target, e.Model, e.Version)
+	case op.VersionWanted, op.OrderEnded:
+		s.Roll.Reduce(now, ev, s.rollView(now), &out)
+	case op.JobTaken:
+		s.Batch.Reduce(now, ev, s.batchView(), &out)
+		s.noteJobs()
+		s.sendBeats(now, &out)
+	case op.JobDropped, op.ItemEnded, op.Appended, op.EndAsked:
+		s.Batch.Reduce(now, ev, s.batchView(), &out)
+	case op.LeaseRead, op.LeaseWritten:
+		s.Leases.Reduce(now, ev, &out)
+	case op.CountsHeard, op.CountsSealed, op.CountsSent:
+		s.Tally.Reduce(now, ev, s.tallyView(now), &out)
+	case op.BeatHeard:
+		s.heard(now, e.Beat, &out)
+	case op.PeersListed:
+		s.peersListed(e)
+	case op.JobSeen:
+		s.Beats.Seen(e.Job)
+	case op.JobsFound:
+		s.Beats.Found(e)
+	case op.Drain:
+		s.drain(now, &out)
+	}
+	return out
+}
+
+func (s *State) tick(now clock.Millis, e op.Tick, out *op.List) {
+	s.WallAt, s.TickAt = e.Wall, now
+	s.Roster.Tick(now)
+	s.standForDuties(now)
+	s.Leases.Reduce(now, e, out)
+	s.noteJobs()
+	s.Beats.Tick(now, s.Draining, out)
+	s.advance(now, out)
+	s.Tally.Advance(now, s.tallyView(now), out)
+	if now >= s.beatAt {
+		s.sendBeats(now, out)
+	}
+	if fresh := s.Fresh(now); fresh != s.wasFresh {
+		s.wasFresh = fresh
+		out.Add(op.Note{Level: "info", Message: "freshness of the configuration changed", Fields: map[string]string{
+			"Fresh": strconv.FormatBool(fresh), "AgeMillis": millisText(s.Age(now)),
+		}})
+	}
+}
+
+func (s *State) advance(now clock.Millis, out *op.List) {
+	s.Batch.Advance(now, s.batchView(), out)
+	s.Roll.Advance(now, s.rollView(now), out)
+}
+
+// standForDuties makes the instance that ranks first stand for the lease if no
+// live instance holds it.
+func (s *State) standForDuties(now clock.Millis) {
+	_, _, held := s.Leases.Holds(Duties, now)
+	stand := held
+	if !held && now >= s.started+standAfter {
+		stand = s.Beats.First(now, string(Duties))
+		for _, p := range s.Beats.LivePeers(now) {
+			if p.Holder && !p.Leaving {
+				stand = false
+			}
+		}
+	}
+	s.Leases.Want(Duties, stand && !s.Draining)
+}
+
+func (s *State) tableChanged(now clock.Millis, e op.TableChanged, out *op.List) {
+	if s.Table != nil && e.Revision <= s.Table.Revision {
+		return
+	}
+	s.Table = route.New(e.Configuration, e.Revision)
+	out.Add(op.Note{Level: "info", Message: "configuration in force", Fields: map[string]string{
+		"Version": strconv.FormatInt(e.Configuration.Version, 10), "Revision": strconv.FormatInt(int64(e.Revision), 10),
+		"Routes": strconv.Itoa(len(e.Configuration.Routes)), "Keys": strconv.Itoa(len(e.Configuration.Keys)),
+	}})
+	s.advance(now, out)
+}
+
+func (s *State) storeHeard(now clock.Millis, e op.StoreHeard) {
+	if s.StoreDownAt > 0 {
+		s.StoreDownAt = 0
+		s.Roster.BackAt = now
+	}
+	s.ConfirmedAt = max(s.ConfirmedAt, e.AskedAt)
+	s.Confirmed = true
+}
+
+// Age is how old the knowledge of the configuration is.
+func (s *State) Age(now clock.Millis) clock.Millis { return now - s.ConfirmedAt }
+
+// Fresh tells whether keys may be acted on.
+func (s *State) Fresh(now clock.Millis) bool {
+	bound := clock.Of(s.Site.Terms.RevokeWithin)
+	if bound <= 0 {
+		return s.Confirmed
+	}
+	return s.Confirmed && s.Age(now) < clock.Millis(float64(bound)*freshPart)
+}
+
+// Ready tells whether callers should be sent here.
+func (s *State) Ready(now clock.Millis) bool { return !s.Draining && s.Table != nil && s.Fresh(now) }
+
+// Wall is the Unix time at now.
+func (s *State) Wall(now clock.Millis) clock.Millis {
+	if s.WallAt == 0 {
+		return 0
+	}
+	return s.WallAt + now - s.TickAt
+}
+
+func (s *State) forwardView(now clock.Millis) forward.View {
+	return forward.View{Roster: &s.Roster, Table: s.Table, Fresh: s.Fresh(now), Age: s.Age(now), Tally: &s.Tally}
+}
+
+func (s *State) batchView() batch.View {
+	return batch.View{Roster: &s.Roster, Table: s.Table, Draining: s.Draining}
+}
+
+func (s *State) rollView(now clock.Millis) roll.View {
+	fence, until, _ := s.Leases.Holds(Duties, now)
+	return roll.View{Roster: &s.Roster, Table: s.Table, Self: s.Site.Instance, Fence: fence, Until: until}
+}
+
+func (s *State) tallyView(now clock.Millis) tally.View {
+	fence, until, _ := s.Leases.Holds(Duties, now)
+	return tally.View{Wall: s.Wall(now), Self: s.Site.Instance, Fence: fence, Until: until}
+}
+
+// noteJobs tells the peers' part which jobs this instance owns.
+func (s *State) noteJobs() {
+	for id, j := range s.Batch.Jobs {
+		s.Beats.Note(id, s.Site.Instance, j.Epoch, j.Closed())
+	}
+}
+
+func (s *State) heard(now clock.Millis, b op.Beat, out *op.List) {
+	own := make(map[string]unit.Epoch, len(s.Batch.Jobs))
+	for id, j := range s.Batch.Jobs {
+		own[id] = j.Epoch
+	}
+	for _, id := range s.Beats.Heard(now, b, own) {
+		out.Add(op.Note{Level: "info", Message: "job dropped for another owner", Fields: map[string]string{
+			"Job": id, "Owner": string(b.Instance),
+		}})
+		s.Batch.Reduce(now, op.JobDropped{Job: id}, s.batchView(), out)
+		out.Add(op.ForgetJob{Job: id})
+	}
+	if len(b.Counts) > 0 {
+		s.Tally.Reduce(now, op.CountsHeard{Source: b.Incarnation, Counts: b.Counts}, s.tallyView(now), out)
+	}
+}
+
+// peersListed adds instances that were not heard yet, so that they are sent
+// heartbeats.
+func (s *State) peersListed(e op.PeersListed) {
+	for id, address := range e.Peers {
+		if id == s.Site.Instance {
+			continue
+		}
+		if s.Beats.Peers == nil {
+			s.Beats.Peers = make(map[unit.Instance]*beat.Peer)
+		}
+		if p := s.Beats.Peers[id]; p == nil {
+			s.Beats.Peers[id] = &beat.Peer{Beat: op.Beat{Instance: id, Address: address}, HeardAt: -beat.DeadAfter}
+		} else if p.Address != address {
+			p.Address = address
+		}
+	}
+}
+
+func (s *State) sendBeats(now clock.Millis, out *op.List) {
+	s.beatAt = now + beat.Every
+	s.seq++
+	_, _, held := s.Leases.Holds(Duties, now)
+	b := op.Beat{
+		Instance: s.Site.Instance, Incarnation: s.Self, Seq: s.seq, Address: s.PeerAddress(),
+		DataCentre: s.Site.DataCentre, Uptime: now - s.started, Leaving: s.Draining, Holder: held,
+		Orphans: s.Beats.Orphans(), Counts: s.Tally.Own(),
+	}
+	for id, j := range s.Batch.Jobs {
+		b.Jobs = append(b.Jobs, op.JobNote{ID: id, Epoch: j.Epoch, Closed: j.Closed()})
+	}
+	e := op.SendBeats{Beat: b}
+	for _, p := range s.Beats.Peers {
+		e.Addresses = append(e.Addresses, p.Address)
+	}
+	out.Add(e)
+}
+
+// PeerAddress is where peers reach this instance.
+func (s *State) PeerAddress() string {
+	return net.JoinHostPort(s.Site.IP, strconv.Itoa(s.Site.PeerPort))
+}
+
+func (s *State) drain(now clock.Millis, out *op.List) {
+	s.Draining = true
+	s.standForDuties(now)
+	s.Leases.Reduce(now, op.Tick{Wall: s.Wall(now)}, out)
+	s.sendBeats(now, out)
+}
+
+func millisText(m clock.Millis) string { return strconv.FormatInt(int64(m), 10) }
+
+// Dump is the part of the state that a person may read. It holds no keys.
+type Dump struct {
+	Instance             unit.Instance
+	ConfigurationVersion int64
+	ConfirmedAt          clock.Millis
+	Draining             bool
+	Targets              map[unit.Target]*roster.Target
+	Jobs                 map[string]*batch.Job
+	Peers                map[unit.Instance]*beat.Peer
+	Versions             map[unit.Model]unit.Version
+	Assigned             map[unit.Target]unit.Model
+	Leases               map[unit.Scope]*lease.Lease
+}
+
+// Dump returns the state for a person to read.
+func (s *State) Dump() Dump {
+	d := Dump{
+		Instance: s.Site.Instance, ConfirmedAt: s.ConfirmedAt, Draining: s.Draining, Targets: s.Roster.Targets,
+		Jobs: s.Batch.Jobs, Peers: s.Beats.Peers, Versions: s.Roll.Wanted, Assigned: s.Roll.Assigned, Leases: s.Leases.Leases,
+	}
+	if s.Table != nil {
+		d.ConfigurationVersion = s.Table.Version
+	}
+	return d
+}
--- /dev/null
+++ b/internal/op/hosted.go
@@ -0,0 +1,399 @@
+package op
+
+import (
+	"github.com/catkinhead/catkinhead/pkg/clock"
+	"github.com/catkinhead/catkinhead/pkg/platform"
+	"github.com/catkinhead/catkinhead/pkg/unit"
+)
+
+// The reasons of answers to callers of routes.
+const (
+	NoTarget  Reason = "NoTarget"
+	TimedOut  Reason = "TimedOut"
+	AskedAway Reason = "CallerGone"
+	NotStored Reason = "NotStored"
+	BadJob    Reason = "BadJob"
+)
+
+// CallID names a caller's request within a process.
+type CallID int64
+
+// Asked brings a caller's request for a route.
+type Asked struct {
+	Call CallID
+	Host string
+	Path string
+	Head platform.Head
+	// Batch is set for a call about a job that exists.
+	Batch bool
+}
+
+// Passed ends an attempt at a target. Whole is set if the answer went to the
+// caller; Begun if a part of it did.
+type Passed struct {
+	Call    CallID
+	Target  unit.Target
+	Whole   bool
+	Begun   bool
+	Outcome unit.Outcome
+	Leaving bool
+	// SentAt is the Unix time at which the attempt was sent.
+	SentAt clock.Millis
+}
+
+// Left says that the caller of a request is gone.
+type Left struct{ Call CallID }
+
+// TableChanged brings a configuration.
+type TableChanged struct {
+	Configuration platform.Configuration
+	Revision      unit.Revision
+}
+
+// StoreHeard says that the store answered a call made at AskedAt, so that what
+// is known of the configuration is at least as new.
+type StoreHeard struct{ AskedAt clock.Millis }
+
+// StoreSilent says that the store did not answer.
+type StoreSilent struct{}
+
+// TargetsListed brings all entries of targets.
+type TargetsListed struct{ Entries []platform.TargetEntry }
+
+// TargetChanged brings one entry, or its removal.
+type TargetChanged struct {
+	Entry   platform.TargetEntry
+	Removed bool
+}
+
+// VersionWanted brings the version that a trainer named.
+type VersionWanted struct {
+	Model   unit.Model
+	Version unit.Version
+}
+
+// VersionSeen says which version a target answered with.
+type VersionSeen struct {
+	Target  unit.Target
+	Model   unit.Model
+	Version unit.Version
+}
+
+// JobShape is a job without its content.
+type JobShape struct {
+	ID         string
+	Workspace  unit.Workspace
+	Route      unit.Route
+	Pool       unit.Pool
+	MinVersion unit.Version
+	WantGroups int
+	Items      []ItemShape
+	// Age is how long ago the job was submitted.
+	Age clock.Millis
+}
+
+// ItemShape is what decisions need of an item.
+type ItemShape struct {
+	Group string
+	Model unit.Model
+	// Tokens is the prompt and the longest output; Expected the caller's
+	// estimate of the output, 0 for none.
+	Tokens, Expected int
+}
+
+// JobTaken makes this instance the owner of a job. Chunks are the chunks that
+// its list has already.
+type JobTaken struct {
+	Shape  JobShape
+	Epoch  unit.Epoch
+	Chunks []ChunkShape
+}
+
+// JobDropped says that another instance owns the job under a higher epoch.
+type JobDropped struct{ Job string }
+
+// ChunkShape is a chunk of a job's list of results without the texts.
+type ChunkShape struct {
+	Items []int
+	// Ended is set on the last chunk.
+	Ended bool
+}
+
+// ItemEnd says how a run of an item ended.
+type ItemEnd string
+
+// The ends of runs.
+const (
+	// ItemWhole means that the whole output is there.
+	ItemWhole ItemEnd = "Whole"
+	// ItemBroken means that the stream broke; it may go on elsewhere.
+	ItemBroken ItemEnd = "Broken"
+	// ItemNotRun means that the target did not take the item.
+	ItemNotRun ItemEnd = "NotRun"
+	// ItemFailed is a failure that counts as an attempt.
+	ItemFailed ItemEnd = "Failed"
+	// ItemImpossible means that the item can never be done.
+	ItemImpossible ItemEnd = "Impossible"
+	// ItemOldVersion means that the target has too old a version.
+	ItemOldVersion ItemEnd = "OldVersion"
+)
+
+// ItemEnded ends a run of an item. Last is the last event that is kept.
+type ItemEnded struct {
+	Job    string
+	Item   int
+	Run    int64
+	Target unit.Target
+	End    ItemEnd
+	Last   int64
+}
+
+// Appended ends AppendChunk. Other is the chunk that stands there in case of a
+// conflict.
+type Appended struct {
+	Job    string
+	Chunk  int
+	Result Result
+	Other  ChunkShape
+}
+
+// EndAsked asks for the end of a job. Call is answered by JobEnded.
+type EndAsked struct {
+	Job  string
+	Call CallID
+}
+
+// OrderEnded ends OrderVersion.
+type OrderEnded struct {
+	Target  unit.Target
+	Model   unit.Model
+	Version unit.Version
+	Result  Result
+}
+
+// CountsHeard brings the counts of another instance's incarnation.
+type CountsHeard struct {
+	Source unit.Incarnation
+	Counts []WindowCount
+}
+
+// WindowCount is the use of a workspace in a window as one source counted it.
+type WindowCount struct {
+	Window    unit.Window
+	Workspace unit.Workspace
+	Count     int64
+}
+
+// CountsSealed ends SealCounts. Counts is what stands in the store.
+type CountsSealed struct {
+	Window unit.Window
+	Result Result
+	Counts map[unit.Workspace]int64
+}
+
+// CountsSent ends SendCounts.
+type CountsSent struct {
+	Window unit.Window
+	Result Result
+}
+
+// PassOn sends a caller's request to a target.
+type PassOn struct {
+	Call      CallID
+	Route     unit.Route
+	Pool      unit.Pool
+	Target    unit.Target
+	Address   string
+	Workspace unit.Workspace
+	// Attempt counts from 1.
+	Attempt int
+	// Until is when the attempt is given up; Deadline when the caller gives up.
+	Until, Deadline clock.Millis
+	Streaming       bool
+}
+
+// TakeJob lets a submitted job be read and stored.
+type TakeJob struct {
+	Call      CallID
+	Rule      platform.RouteRule
+	Workspace unit.Workspace
+}
+
+// ServeBatch lets a call about a job go on, for the jobs of a workspace.
+type ServeBatch struct {
+	Call      CallID
+	Workspace unit.Workspace
+	// Open is set if no key was needed.
+	Open bool
+}
+
+// Respond answers a caller with a status of our own.
+type Respond struct {
+	Call       CallID
+	Status     int
+	Reason     Reason
+	Outcome    unit.Outcome
+	RetryAfter clock.Millis
+	// Route, Attempts and KnownFor tell what decided: the age of what is known
+	// of the configuration.
+	Route    unit.Route
+	Attempts int
+	KnownFor clock.Millis
+}
+
+// RunItem sends an item to a target. After is the last event that is kept, -1
+// for none.
+type RunItem struct {
+	Job     string
+	Item    int
+	Run     int64
+	Target  unit.Target
+	Address string
+	Model   unit.Model
+	// MinVersion is the oldest version that may produce an event.
+	MinVersion unit.Version
+	// SingleVersion allows one version only.
+	SingleVersion bool
+	After         int64
+	Until         clock.Millis
+}
+
+// StopItem breaks a run off.
+type StopItem struct {
+	Job  string
+	Item int
+	Run  int64
+}
+
+// AppendChunk writes the next chunk of a job's results.
+type AppendChunk struct {
+	Job   string
+	Chunk int
+	// Done are items with a whole output, GivenUp those without.
+	Done, GivenUp []int
+	Ended         bool
+}
+
+// JobListed says that more results stand at their positions.
+type JobListed struct {
+	Job   string
+	Chunk ChunkShape
+	Total int
+}
+
+// JobEnded answers EndAsked.
+type JobEnded struct{ Call CallID }
+
+// OrderVersion orders a target to take a version.
+type OrderVersion struct{ Order platform.VersionOrder }
+
+// SealCounts writes a window's counts once.
+type SealCounts struct {
+	Window unit.Window
+	Counts map[unit.Workspace]int64
+}
+
+// SendCounts reports a sealed window.
+type SendCounts struct{ Report platform.CountReport }
+
+func (Asked) event()         {}
+func (Passed) event()        {}
+func (Left) event()          {}
+func (TableChanged) event()  {}
+func (StoreHeard) event()    {}
+func (StoreSilent) event()   {}
+func (TargetsListed) event() {}
+func (TargetChanged) event() {}
+func (VersionWanted) event() {}
+func (VersionSeen) event()   {}
+func (JobTaken) event()      {}
+func (JobDropped) event()    {}
+func (ItemEnded) event()     {}
+func (Appended) event()      {}
+func (EndAsked) event()      {}
+func (OrderEnded) event()    {}
+func (CountsHeard) event()   {}
+func (CountsSealed) event()  {}
+func (CountsSent) event()    {}
+
+func (PassOn) effect()       {}
+func (TakeJob) effect()      {}
+func (ServeBatch) effect()   {}
+func (Respond) effect()      {}
+func (RunItem) effect()      {}
+func (StopItem) effect()     {}
+func (AppendChunk) effect()  {}
+func (JobListed) effect()    {}
+func (JobEnded) effect()     {}
+func (OrderVersion) effect() {}
+func (SealCounts) effect()   {}
+func (SendCounts) effect()   {}
+
+// Beat is what an instance tells its peers.
+type Beat struct {
+	Instance    unit.Instance
+	Incarnation unit.Incarnation
+	// Seq rises with each heartbeat of an incarnation.
+	Seq        int64
+	Address    string
+	DataCentre unit.DataCentre
+	Uptime     clock.Millis
+	Leaving    bool
+	// Holder is set while the instance holds the lease of the duties.
+	Holder  bool
+	Jobs    []JobNote     `json:",omitempty"`
+	Orphans []string      `json:",omitempty"`
+	Counts  []WindowCount `json:",omitempty"`
+}
+
+// JobNote is a job that an instance owns.
+type JobNote struct {
+	ID     string
+	Epoch  unit.Epoch
+	Closed bool
+}
+
+// BeatHeard brings a peer's heartbeat.
+type BeatHeard struct{ Beat Beat }
+
+// PeersListed brings the addresses of instances from the store.
+type PeersListed struct{ Peers map[unit.Instance]string }
+
+// JobsFound ends ListJobs.
+type JobsFound struct {
+	Result Result
+	Jobs   []string
+}
+
+// JobSeen says that a job stands in the store; it may have no owner.
+type JobSeen struct{ Job string }
+
+// SendBeats sends a heartbeat to peers.
+type SendBeats struct {
+	Beat      Beat
+	Addresses []string
+}
+
+// TakeOver reads a job from the store to become its owner.
+type TakeOver struct {
+	Job   string
+	Epoch unit.Epoch
+	From  unit.Instance
+}
+
+// ListJobs reads which jobs stand in the store.
+type ListJobs struct{}
+
+func (BeatHeard) event()   {}
+func (PeersListed) event() {}
+func (JobsFound) event()   {}
+func (JobSeen) event()     {}
+
+func (SendBeats) effect() {}
+func (TakeOver) effect()  {}
+func (ListJobs) effect()  {}
+
+// ForgetJob drops the content of a job that another instance owns.
+type ForgetJob struct{ Job string }
+
+func (ForgetJob) effect() {}
--- a/internal/serve/peer_client.go
+++ b/internal/serve/peer_client.go
@@ -12,7 +12,7 @@
 	"github.com/catkinhead/catkinhead/internal/member"
 	"github.com/catkinhead/catkinhead/internal/op"
 	"github.com/catkinhead/catkinhead/pkg/clock"
-	"github.com/catkinhead/catkinhead/pkg/platform/wire"
+	"github.com/catkinhead/catkinhead/pkg/platform/link"
 	"github.com/catkinhead/catkinhead/pkg/rpc"
 	"github.com/catkinhead/catkinhead/pkg/unit"
 )
@@ -44,7 +44,7 @@
 		bytes:  n,
 		header: http.Header{secretHeader: {secret}},
 		http: &http.Client{Transport: &http.Transport{
-			DialContext: wire.CountingDial(n), MaxIdleConnsPerHost: 2, MaxIdleConns: idlePeers, IdleConnTimeout: idleTime,
+			DialContext: link.CountingDial(n), MaxIdleConnsPerHost: 2, MaxIdleConns: idlePeers, IdleConnTimeout: idleTime,
 		}},
 		by: make(map[string]rpc.Peer),
 	}
--- /dev/null
+++ b/internal/tally/tally.go
@@ -0,0 +1,203 @@
+package tally
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/catkinhead/catkinhead/internal/op"
+	"github.com/catkinhead/catkinhead/pkg/clock"
+	"github.com/catkinhead/catkinhead/pkg/platform"
+	"github.com/catkinhead/catkinhead/pkg/unit"
+)
+
+const (
+	// settle is the time after a window's end in which the counts of the other
+	// instances arrive.
+	settle clock.Millis = 2 * clock.Second
+	// retryAfter is the pause after a call that failed.
+	retryAfter clock.Millis = 500
+	// keepWindows is how many windows are kept, so that late reports of an
+	// earlier holder can be made good.
+	keepWindows = 6
+	// sendTime bounds how long a report may take to be written.
+	sendTime clock.Millis = 500
+)
+
+// State is the counts of all instances as far as they were heard.
+type State struct {
+	Self unit.Incarnation
+	// Length is a window's length.
+	Length clock.Millis
+	// Counts are by source, so that hearing a count again adds nothing.
+	Counts  map[unit.Incarnation]map[key]int64
+	windows map[unit.Window]*window
+	// first is the window in which this instance started.
+	first unit.Window
+}
+
+type key struct {
+	window    unit.Window
+	workspace unit.Workspace
+}
+
+type window struct {
+	// busy is set while a call is under way.
+	busy   bool
+	again  clock.Millis
+	sealed map[unit.Workspace]int64
+	sent   bool
+}
+
+// View is what decisions on reports rest on. Fence is 0 without the lease;
+// Wall is the Unix time.
+type View struct {
+	Wall  clock.Millis
+	Self  unit.Instance
+	Fence unit.Fence
+	Until clock.Millis
+}
+
+// Began counts a request that a target began.
+func (s *State) Began(wall clock.Millis, w unit.Workspace) {
+	if s.Length <= 0 {
+		return
+	}
+	s.add(s.Self, key{unit.Window(wall / s.Length), w}, 1)
+}
+
+func (s *State) add(source unit.Incarnation, k key, n int64) {
+	s.source(source)[k] += n
+}
+
+func (s *State) source(source unit.Incarnation) map[key]int64 {
+	if s.Counts == nil {
+		s.Counts = make(map[unit.Incarnation]map[key]int64)
+	}
+	m := s.Counts[source]
+	if m == nil {
+		m = make(map[key]int64)
+		s.Counts[source] = m
+	}
+	return m
+}
+
+// Own returns this instance's counts of the windows that are kept.
+func (s *State) Own() []op.WindowCount {
+	var out []op.WindowCount
+	for k, n := range s.Counts[s.Self] {
+		out = append(out, op.WindowCount{Window: k.window, Workspace: k.workspace, Count: n})
+	}
+	slices.SortFunc(out, func(a, b op.WindowCount) int {
+		return cmp.Or(cmp.Compare(a.Window, b.Window), cmp.Compare(a.Workspace, b.Workspace))
+	})
+	return out
+}
+
+// Reduce handles counts of others and the ends of calls.
+func (s *State) Reduce(now clock.Millis, ev op.Event, v View, out *op.List) {
+	switch e := ev.(type) {
+	case op.CountsHeard:
+		m := s.source(e.Source)
+		for _, c := range e.Counts {
+			k := key{c.Window, c.Workspace}
+			m[k] = max(m[k], c.Count)
+		}
+	case op.CountsSealed:
+		s.sealed(now, e)
+	case op.CountsSent:
+		s.sent(now, e)
+	}
+	s.Advance(now, v, out)
+}
+
+func (s *State) sealed(now clock.Millis, e op.CountsSealed) {
+	w := s.windows[e.Window]
+	if w == nil {
+		return
+	}
+	w.busy = false
+	if e.Result != op.Done {
+		w.again = now + retryAfter
+		return
+	}
+	w.sealed = e.Counts
+	if w.sealed == nil {
+		w.sealed = make(map[unit.Workspace]int64)
+	}
+}
+
+func (s *State) sent(now clock.Millis, e op.CountsSent) {
+	w := s.windows[e.Window]
+	if w == nil {
+		return
+	}
+	w.busy = false
+	w.again = now + retryAfter
+	w.sent = e.Result == op.Done || e.Result == op.Conflict
+}
+
+// Advance seals and reports the windows that have settled.
+func (s *State) Advance(now clock.Millis, v View, out *op.List) {
+	if s.Length <= 0 || v.Wall <= 0 {
+		return
+	}
+	current := unit.Window(v.Wall / s.Length)
+	if s.first == 0 {
+		s.first = current
+	}
+	s.trim(current)
+	if v.Fence == 0 {
+		return
+	}
+	if s.windows == nil {
+		s.windows = make(map[unit.Window]*window)
+	}
+	oldest := max(current-keepWindows+1, s.first)
+	for n := oldest; n < current; n++ {
+		if v.Wall < clock.Millis(n+1)*s.Length+settle {
+			break
+		}
+		if s.windows[n] == nil {
+			s.windows[n] = &window{}
+		}
+		s.report(now, n, s.windows[n], v, out)
+	}
+}
+
+func (s *State) report(now clock.Millis, n unit.Window, w *window, v View, out *op.List) {
+	if w.busy || w.sent || now < w.again || now+sendTime >= v.Until {
+		return
+	}
+	w.busy = true
+	if w.sealed == nil {
+		out.Add(op.SealCounts{Window: n, Counts: s.sum(n)})
+		return
+	}
+	out.Add(op.SendCounts{Report: platform.CountReport{
+		Window: n, Counts: w.sealed, Holder: v.Self, Fence: v.Fence, SendBefore: min(v.Until, now+sendTime),
+	}})
+}
+
+func (s *State) sum(n unit.Window) map[unit.Workspace]int64 {
+	out := make(map[unit.Workspace]int64)
+	for _, counts := range s.Counts {
+		for k, c := range counts {
+			if k.window == n {
+				out[k.workspace] += c
+			}
+		}
+	}
+	return out
+}
+
+// trim drops the windows that are no longer kept.
+func (s *State) trim(current unit.Window) {
+	for source, m := range s.Counts {
+		maps.DeleteFunc(m, func(k key, _ int64) bool { return k.window <= current-keepWindows })
+		if len(m) == 0 {
+			delete(s.Counts, source)
+		}
+	}
+	maps.DeleteFunc(s.windows, func(n unit.Window, _ *window) bool { return n <= current-keepWindows })
+}
--- a/pkg/clock/clock.go
+++ b/pkg/clock/clock.go
@@ -3,6 +3,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Millis is a point in time or a duration, in milliseconds. As a point it
@@ -30,9 +32,10 @@
 // start of the process.
 type System struct{}
 
-// Now returns the monotonic milliseconds since the process started. It goes
-// on counting while the process is stopped.
-func (System) Now() Millis { return Of(time.Since(start)) }
+// Now returns the milliseconds since the process started. It goes on counting
+// while the process is stopped and while the machine is suspended, so that a
+// lease or the age of a fact cannot outlive a suspension.
+func (System) Now() Millis { return sinceBoot() - start }
 
 // Wall returns the milliseconds since the Unix epoch.
 func (System) Wall() Millis { return Millis(time.Now().UnixMilli()) }
@@ -49,4 +52,14 @@
 // Advance moves the clock on by d.
 func (m *Manual) Advance(d Millis) { m.now.Add(int64(d)) }
 
-var start = time.Now()
+var start = sinceBoot()
+
+// sinceBoot reads the clock that counts suspended time, in milliseconds.
+func sinceBoot() Millis {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		// Linux has had this clock since 2.6.39; without it no lease is safe.
+		panic("clock: read CLOCK_BOOTTIME: " + err.Error())
+	}
+	return Millis(ts.Nano() / int64(time.Millisecond))
+}
--- a/pkg/platform/wire/count.go
+++ b/pkg/platform/link/count.go
@@ -1,4 +1,4 @@
-package wire
+package link
 
 import (
 	"context"
@@ -38,16 +38,16 @@
 	return n, err
 }
 
-// written tells whether a request put a byte on its connection. Only a request
+// Written tells whether a request put a byte on its connection. Only a request
 // that did not is certain not to have run.
-type written struct {
+type Written struct {
 	conn   *counted
 	before int64
 	opaque bool
 }
 
-// trace returns ctx with a hook that notes the connection used.
-func (w *written) trace(ctx context.Context) context.Context {
+// Trace returns ctx with a hook that notes the connection used.
+func (w *Written) Trace(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			c, ok := info.Conn.(*counted)
@@ -60,7 +60,8 @@
 	})
 }
 
-func (w *written) any() bool {
+// Any is true if a byte of the request may have been written.
+func (w *Written) Any() bool {
 	if w.opaque {
 		return true
 	}
@@ -79,8 +80,8 @@
 	}
 }
 
-// countedClient returns a client whose connections count what they write.
-func countedClient(idlePerHost int, keepAlive bool, total *atomic.Int64) *http.Client {
+// Client returns a client whose connections count what they write.
+func Client(idlePerHost int, keepAlive bool, total *atomic.Int64) *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		DialContext:         CountingDial(total),
 		MaxIdleConnsPerHost: idlePerHost,
--- a/pkg/platform/wire/guard.go
+++ b/pkg/platform/link/guard.go
@@ -1,4 +1,4 @@
-package wire
+package link
 
 import (
 	"context"
@@ -29,14 +29,14 @@
 
 type beforeKey struct{}
 
-// withBefore sets the time limit for connections dialled under ctx.
-func withBefore(ctx context.Context, t clock.Millis) context.Context {
+// WithBefore sets the time limit for connections dialled under ctx.
+func WithBefore(ctx context.Context, t clock.Millis) context.Context {
 	return context.WithValue(ctx, beforeKey{}, t)
 }
 
-// orderClient returns a client that uses a new guarded connection for each
+// OrderClient returns a client that uses a new guarded connection for each
 // order, so that no order shares a limit with another.
-func orderClient(c clock.Clock) *http.Client {
+func OrderClient(c clock.Clock) *http.Client {
 	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
 		conn, err := (&net.Dialer{Timeout: 2 * time.Second}).DialContext(ctx, network, addr)
 		if err != nil {
--- a/pkg/platform/wire/guard_test.go
+++ b/pkg/platform/link/guard_test.go
@@ -1,4 +1,4 @@
-package wire
+package link
 
 import (
 	"io"
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -42,8 +42,11 @@
 
 // Object is a stored value and its revision.
 type Object struct {
-	Key      string
-	Value    []byte
+	Key   string
+	Value []byte
+	// Status is what another party than the owner wrote, if the store keeps
+	// that apart.
+	Status   []byte
 	Revision unit.Revision
 }
 
--- a/pkg/platform/wire/client.go
+++ b/pkg/platform/wire/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/catkinhead/catkinhead/pkg/clock"
 	"github.com/catkinhead/catkinhead/pkg/platform"
+	"github.com/catkinhead/catkinhead/pkg/platform/link"
 	"github.com/catkinhead/catkinhead/pkg/unit"
 )
 
@@ -42,8 +43,8 @@
 
 // NewPlatform returns a client for the platform at base.
 func NewPlatform(base string, c clock.Clock, timeout time.Duration) *Platform {
-	p := &Platform{Base: base, Timeout: timeout, orders: orderClient(c)}
-	p.plain = countedClient(8, true, &p.Bytes)
+	p := &Platform{Base: base, Timeout: timeout, orders: link.OrderClient(c)}
+	p.plain = link.Client(8, true, &p.Bytes)
 	return p
 }
 
@@ -90,7 +91,7 @@
 
 // Send hands an order over. The connection writes only before o.SendBefore.
 func (p *Platform) Send(ctx context.Context, o platform.Order) error {
-	ctx, cancel := context.WithTimeout(withBefore(ctx, o.SendBefore), p.Timeout)
+	ctx, cancel := context.WithTimeout(link.WithBefore(ctx, o.SendBefore), p.Timeout)
 	defer cancel()
 	body, err := json.Marshal(o)
 	if err != nil {
@@ -122,7 +123,7 @@
 
 // Report hands over a window. The connection writes only before sendBefore.
 func (p *Platform) Report(ctx context.Context, w unit.Window, fence unit.Fence, body []byte, sendBefore clock.Millis) error {
-	ctx, cancel := context.WithTimeout(withBefore(ctx, sendBefore), p.Timeout)
+	ctx, cancel := context.WithTimeout(link.WithBefore(ctx, sendBefore), p.Timeout)
 	defer cancel()
 	u := fmt.Sprintf("%s/usage?window=%d&fence=%d", p.Base, w, fence)
 	return p.do(ctx, p.orders, http.MethodPost, u, body, nil)
@@ -165,8 +166,8 @@
 
 // send makes a request and tells whether any byte of it may have been written.
 func send(ctx context.Context, c *http.Client, method, u string, h header, body []byte) (*http.Response, bool, error) {
-	var w written
-	req, err := http.NewRequestWithContext(w.trace(ctx), method, u, bytes.NewReader(body))
+	var w link.Written
+	req, err := http.NewRequestWithContext(w.Trace(ctx), method, u, bytes.NewReader(body))
 	if err != nil {
 		return nil, false, fmt.Errorf("make request: %w", err)
 	}
@@ -182,7 +183,7 @@
 	if errors.Is(err, platform.ErrLeaseEnded) {
 		return nil, false, platform.ErrLeaseEnded
 	}
-	return res, w.any(), err
+	return res, w.Any(), err
 }
 
 func failed(wrote bool, err error) error {
--- a/pkg/platform/wire/engine.go
+++ b/pkg/platform/wire/engine.go
@@ -13,6 +13,7 @@
 
 	"github.com/catkinhead/catkinhead/pkg/clock"
 	"github.com/catkinhead/catkinhead/pkg/platform"
+	"github.com/catkinhead/catkinhead/pkg/platform/link"
 	"github.com/catkinhead/catkinhead/pkg/unit"
 )
 
@@ -48,10 +49,10 @@
 	return &Engines{
 		Timeout:   timeout,
 		LoadBytes: loads,
-		plain:     countedClient(256, true, nil),
-		loads:     countedClient(256, true, loads),
-		once:      countedClient(0, false, nil),
-		orders:    orderClient(c),
+		plain:     link.Client(256, true, nil),
+		loads:     link.Client(256, true, loads),
+		once:      link.Client(0, false, nil),
+		orders:    link.OrderClient(c),
 	}
 }
 
@@ -146,7 +147,7 @@
 
 // Swap orders an engine to stage or activate a version.
 func (e *Engines) Swap(ctx context.Context, address string, s platform.Swap) error {
-	ctx, cancel := context.WithTimeout(withBefore(ctx, s.SendBefore), e.Timeout)
+	ctx, cancel := context.WithTimeout(link.WithBefore(ctx, s.SendBefore), e.Timeout)
 	defer cancel()
 	body, err := json.Marshal(s)
 	if err != nil {
--- a/pkg/unit/unit.go
+++ b/pkg/unit/unit.go
@@ -22,6 +22,8 @@
 	KeyID string
 	// Target is the name of a model engine or plain service.
 	Target string
+	// Model is the name of a model whose weights targets load.
+	Model string
 	// Pool is the name of a set of interchangeable targets.
 	Pool string
 	// Route is the name that callers give as the model.
