edge: keep each text to its last run, and each chunk to its number

A job that was taken over twice got new, empty texts while its items counted as done; a stopped run went on adding to a text beside its successor; a chunk that a takeover had read already was added a second time. Ruled out: spoiled bytes of workers (the texts were whole or empty). Change: a job's content is put once for each epoch, texts take events of their last run only, chunks only under the next number.

--- a/internal/edge/content.go
+++ b/internal/edge/content.go
@@ -23,16 +23,22 @@
 	job    platform.Job
 	// index maps an item's id to its number.
 	index map[string]int
-	// results stand in the store, in this order.
+	// epoch is that under which this instance owns the job.
+	epoch unit.Epoch
+	// results stand in the store, in this order; chunks counts the chunks that
+	// they came in.
 	results []platform.Result
+	chunks  int
 	ended   bool
 	texts   []text
 	// changed is closed and replaced whenever results or ended change.
 	changed chan struct{}
 }
 
-// text is the kept output of an item: whole events only.
+// text is the kept output of an item: whole events only. Only the run that
+// began last may add to it.
 type text struct {
+	run      int64
 	events   []string
 	versions []unit.Version
 	last     int64
@@ -70,19 +76,23 @@
 	return c
 }
 
-// put adds a job unless it is there already.
-func (c *Content) put(id string, j *jobContent) {
+// put adds a job. It returns false if the job is there already, whose texts
+// must not be lost.
+func (c *Content) put(id string, j *jobContent) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.jobs[id] == nil {
-		c.jobs[id] = j
+	if c.jobs[id] != nil {
+		return false
 	}
+	c.jobs[id] = j
+	return true
 }
 
-func (c *Content) forget(id string) {
+// forget drops a job that was owned under an epoch, or an earlier one.
+func (c *Content) forget(id string, epoch unit.Epoch) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if j := c.jobs[id]; j != nil {
+	if j := c.jobs[id]; j != nil && j.epoch <= epoch {
 		close(j.changed)
 		delete(c.jobs, id)
 	}
@@ -100,9 +110,14 @@
 	return true
 }
 
-// add appends a chunk that stands in the store and frees the texts in it.
-func (j *jobContent) add(chunk chunkRecord) op.ChunkShape {
+// add appends chunk number n, which stands in the store, and frees the texts in
+// it. It returns false if that is not the next chunk.
+func (j *jobContent) add(n int, chunk chunkRecord) (op.ChunkShape, bool) {
 	shape := op.ChunkShape{Ended: chunk.Ended}
+	if n != j.chunks {
+		return shape, false
+	}
+	j.chunks++
 	for _, r := range chunk.Results {
 		j.results = append(j.results, r)
 		if i, ok := j.index[r.ID]; ok {
@@ -118,7 +133,7 @@
 	}
 	close(j.changed)
 	j.changed = make(chan struct{})
-	return shape
+	return shape, true
 }
 
 // chunk makes the record of a chunk from the texts at hand.
--- a/internal/edge/items.go
+++ b/internal/edge/items.go
@@ -32,10 +32,14 @@
 // only one.
 var errMixedVersions = errors.New("version changed in a text of a single version")
 
+// errOtherRun means that another run of the item has begun.
+var errOtherRun = errors.New("another run of the item has begun")
+
 // runItem starts a run of an item.
 func (p *Process) runItem(e op.RunItem) {
 	ctx, cancel := context.WithCancel(context.Background())
 	p.runs.Store(e.Run, cancel)
+	p.content.with(e.Job, func(c *jobContent) { c.texts[e.Item].run = e.Run })
 	p.tasks.Go(func(own context.Context) {
 		defer p.runs.Delete(e.Run)
 		stop := context.AfterFunc(own, cancel)
@@ -68,7 +72,11 @@
 	defer r.stall.Stop()
 	end, err := r.do(ctx)
 	if end == op.ItemBroken && errors.Is(err, errMixedVersions) {
-		p.content.with(e.Job, func(c *jobContent) { c.texts[e.Item] = text{last: -1} })
+		p.content.with(e.Job, func(c *jobContent) {
+			if c.texts[e.Item].run == e.Run {
+				c.texts[e.Item] = text{last: -1}
+			}
+		})
 		r.last = -1
 	}
 	r.logEnd(end, err)
@@ -173,6 +181,10 @@
 	var err error
 	ok := r.p.content.with(r.e.Job, func(c *jobContent) {
 		t := &c.texts[r.e.Item]
+		if t.run != r.e.Run || t.last != r.last {
+			err = errOtherRun
+			return
+		}
 		if r.e.SingleVersion && len(t.versions) > 0 && t.versions[0] != r.version {
 			err = errMixedVersions
 			return
--- a/internal/edge/jobs.go
+++ b/internal/edge/jobs.go
@@ -68,8 +68,10 @@
 func (f *front) accepted(created bool, record jobRecord, job platform.Job) {
 	if created {
 		c := newJobContent(record, job)
-		f.p.content.put(job.ID, c)
-		f.p.apply(op.JobTaken{Shape: c.shape(), Epoch: 1})
+		c.epoch = 1
+		if f.p.content.put(job.ID, c) {
+			f.p.apply(op.JobTaken{Shape: c.shape(), Epoch: 1})
+		}
 	} else {
 		f.p.apply(op.JobSeen{Job: job.ID})
 	}
@@ -141,12 +143,16 @@
 	}
 	c := newJobContent(record, job)
 	var shapes []op.ChunkShape
-	for _, o := range objects {
+	for n, o := range objects {
 		var chunk chunkRecord
 		if err := json.Unmarshal(o.Value, &chunk); err != nil {
 			return nil, nil, fmt.Errorf("decode results %s: %w", o.Key, err)
 		}
-		shapes = append(shapes, c.add(chunk))
+		if o.Key != chunkKey(id, n) {
+			return nil, nil, fmt.Errorf("results %s stand where chunk %d should", o.Key, n)
+		}
+		shape, _ := c.add(n, chunk)
+		shapes = append(shapes, shape)
 	}
 	return c, shapes, nil
 }
@@ -158,8 +164,10 @@
 		p.log.WithFields(logrus.Fields{"Job": e.Job, "From": e.From, "Error": err.Error()}).Warn("job not taken over")
 		return
 	}
-	p.content.forget(e.Job)
-	p.content.put(e.Job, c)
+	c.epoch = e.Epoch
+	if !p.content.put(e.Job, c) {
+		return
+	}
 	shape := c.shape()
 	shape.Age = p.clock.Wall() - clock.Millis(c.record.SubmittedAt)
 	p.log.WithFields(logrus.Fields{
@@ -208,7 +216,9 @@
 		p.apply(op.Appended{Job: e.Job, Chunk: e.Chunk, Result: op.Lost})
 		return
 	}
-	if p.content.with(e.Job, func(c *jobContent) { end.Other = c.add(chunk) }) {
+	next := false
+	p.content.with(e.Job, func(c *jobContent) { end.Other, next = c.add(e.Chunk, chunk) })
+	if next {
 		p.apply(end)
 	}
 }
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -151,7 +151,7 @@
 	case op.JobListed:
 		p.log.WithFields(logrus.Fields{"Job": e.Job, "Items": len(e.Chunk.Items), "Listed": e.Total, "Ended": e.Chunk.Ended}).Info("results listed")
 	case op.ForgetJob:
-		p.content.forget(e.Job)
+		p.content.forget(e.Job, e.Epoch)
 	case op.TakeOver:
 		p.tasks.Go(func(ctx context.Context) { p.takeOver(ctx, e) })
 	case op.ListJobs:
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -243,7 +243,7 @@
 			"Job": id, "Owner": string(b.Instance),
 		}})
 		s.Batch.Reduce(now, op.JobDropped{Job: id}, s.batchView(), out)
-		out.Add(op.ForgetJob{Job: id})
+		out.Add(op.ForgetJob{Job: id, Epoch: own[id]})
 	}
 	if len(b.Counts) > 0 {
 		s.Tally.Reduce(now, op.CountsHeard{Source: b.Incarnation, Counts: b.Counts}, s.tallyView(now), out)
--- a/internal/op/hosted.go
+++ b/internal/op/hosted.go
@@ -393,7 +393,11 @@
 func (TakeOver) effect()  {}
 func (ListJobs) effect()  {}
 
-// ForgetJob drops the content of a job that another instance owns.
-type ForgetJob struct{ Job string }
+// ForgetJob drops the content of a job that was owned under an epoch and now is
+// another instance's.
+type ForgetJob struct {
+	Job   string
+	Epoch unit.Epoch
+}
 
 func (ForgetJob) effect() {}
