--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -28,6 +28,9 @@
 	failedPause clock.Millis = 50
 )
 
+// firstEpoch is that of the instance that created a job.
+const firstEpoch unit.Epoch = 1
+
 // phase is where an item stands.
 type phase int
 
@@ -45,8 +48,10 @@
 	op.ItemShape
 	Phase  phase
 	Target unit.Target
-	// Run tells the runs of the item apart.
-	Run int64
+	// Run tells the runs of the item apart. Moving is set once it is to end so
+	// that the item goes on elsewhere.
+	Run    int64
+	Moving bool
 	// Fails counts the failures that the target answered for itself.
 	Fails     int
 	NotBefore clock.Millis
@@ -58,7 +63,10 @@
 type Job struct {
 	op.JobShape
 	Epoch unit.Epoch
-	Items []Item
+	// Claimed is set once no former owner can add results any more. The
+	// instance that created the job need not claim it.
+	Claimed bool
+	Items   []Item
 	// Order is the order in which items are started.
 	Order []int
 	// Chunks and Listed count what stands in the store.
@@ -74,8 +82,9 @@
 	EndCalls      []op.CallID
 }
 
-// State is the jobs that this instance owns.
+// State is the jobs that this instance owns. Self must be set.
 type State struct {
+	Self unit.Instance
 	Jobs map[string]*Job
 	// Refused holds until when a target is passed over for a model.
 	Refused map[refusal]clock.Millis
@@ -121,6 +130,7 @@
 	if !v.Draining {
 		for _, j := range jobs {
 			s.start(now, j, v, out)
+			s.move(now, j, v, out)
 		}
 	}
 	for _, j := range jobs {
@@ -151,7 +161,7 @@
 		old.Epoch = max(old.Epoch, e.Epoch)
 		return
 	}
-	j := &Job{JobShape: e.Shape, Epoch: e.Epoch, Items: make([]Item, len(e.Shape.Items))}
+	j := &Job{JobShape: e.Shape, Epoch: e.Epoch, Claimed: e.Epoch <= firstEpoch, Items: make([]Item, len(e.Shape.Items))}
 	for i, it := range e.Shape.Items {
 		j.Items[i] = Item{ItemShape: it, Last: -1}
 		j.Order = append(j.Order, i)
@@ -172,6 +182,7 @@
 	for _, c := range e.Chunks {
 		s.adopt(j, c, v, out)
 	}
+	j.Claimed = j.Claimed || j.Ended
 }
 
 func (s *State) dropped(id string, v View, out *op.List) {
@@ -210,6 +221,7 @@
 	switch e.End {
 	case op.ItemWhole:
 		it.Phase = done
+	case op.ItemMoved:
 	case op.ItemNotRun:
 		s.Refused[refusal{e.Target, it.Model}] = now + refusedFor
 	case op.ItemOldVersion:
@@ -247,6 +259,37 @@
 	}
 }
 
+// move ends runs at slow targets while there is room at others.
+func (s *State) move(now clock.Millis, j *Job, v View, out *op.List) {
+	room := -1
+	for _, i := range j.Order {
+		it := &j.Items[i]
+		if it.Phase != running || it.Moving || !v.Roster.Slow(now, it.Target) {
+			continue
+		}
+		if room < 0 {
+			room = s.room(now, j, it, v)
+		}
+		if room == 0 {
+			return
+		}
+		room--
+		it.Moving = true
+		out.Add(op.MoveItem{Job: j.ID, Item: i, Run: it.Run})
+	}
+}
+
+// room counts the free slots of targets that are not slow.
+func (s *State) room(now clock.Millis, j *Job, it *Item, v View) int {
+	n := 0
+	for _, t := range v.Roster.Usable(j.Pool) {
+		if s.fits(now, j, it, t) && now >= t.SlowUntil {
+			n += t.Free()
+		}
+	}
+	return n
+}
+
 // start sends waiting items to targets with free slots.
 func (s *State) start(now clock.Millis, j *Job, v View, out *op.List) {
 	if j.Ending || v.Table == nil {
@@ -266,7 +309,7 @@
 			continue
 		}
 		s.run++
-		it.Phase, it.Run, it.Target = running, s.run, t.Target
+		it.Phase, it.Run, it.Target, it.Moving = running, s.run, t.Target, false
 		v.Roster.Began(t.Target)
 		out.Add(op.RunItem{
 			Job: j.ID, Item: i, Run: it.Run, Target: t.Target, Address: t.Address, Model: it.Model,
@@ -279,25 +322,41 @@
 func (s *State) pick(now clock.Millis, j *Job, it *Item, v View) *roster.Target {
 	var best *roster.Target
 	for _, t := range v.Roster.Usable(j.Pool) {
-		if t.Running >= max(t.Slots, 1) || now < t.SuspectUntil || now < s.Refused[refusal{t.Target, it.Model}] {
+		if t.Free() <= 0 || !s.fits(now, j, it, t) {
 			continue
 		}
-		if t.VersionOf(it.Model) < j.MinVersion {
-			continue
-		}
-		if best == nil || t.Running*max(best.Slots, 1) < best.Running*max(t.Slots, 1) {
+		if best == nil || better(now, t, best) {
 			best = t
 		}
 	}
 	return best
 }
 
+// fits tells whether a target may run an item now.
+func (s *State) fits(now clock.Millis, j *Job, it *Item, t *roster.Target) bool {
+	return now >= t.SuspectUntil && now >= s.Refused[refusal{t.Target, it.Model}] && t.VersionOf(it.Model) >= j.MinVersion
+}
+
+// better prefers targets that are not slow, then those with the smaller part of
+// their slots taken.
+func better(now clock.Millis, a, b *roster.Target) bool {
+	if x, y := now < a.SlowUntil, now < b.SlowUntil; x != y {
+		return y
+	}
+	return a.Taken()*max(b.Slots, 1) < b.Taken()*max(a.Slots, 1)
+}
+
 // append writes the next chunk if there is something to list.
 func (s *State) append(now clock.Millis, j *Job, out *op.List) {
 	if j.Writing || j.Ended || now < j.RetryAt {
 		return
 	}
-	e := op.AppendChunk{Job: j.ID, Chunk: j.Chunks, Ended: j.Ending}
+	e := op.AppendChunk{Job: j.ID, Chunk: j.Chunks, Ended: j.Ending, Epoch: j.Epoch}
+	if !j.Claimed {
+		j.Writing, e.Ended = true, false
+		out.Add(e)
+		return
+	}
 	for i := range j.Items {
 		switch j.Items[i].Phase {
 		case done:
@@ -359,11 +418,30 @@
 	switch e.Result {
 	case op.Done, op.Conflict:
 		s.adopt(j, e.Other, v, out)
+		s.settleClaim(j, e, v, out)
 	default:
 		j.RetryAt = now + retryAppend
 	}
 }
 
+// settleClaim draws the conclusion from the chunk that now stands last: a claim
+// of ours that was written, or another owner's under an epoch that is not lower.
+func (s *State) settleClaim(j *Job, e op.Appended, v View, out *op.List) {
+	if e.Result == op.Done || j.Ended {
+		if !j.Claimed {
+			j.Claimed = true
+			out.Add(op.JobClaimed{Job: j.ID})
+		}
+		return
+	}
+	if e.Other.Owner == s.Self || e.Other.Epoch < j.Epoch {
+		return
+	}
+	epoch := j.Epoch
+	s.dropped(j.ID, v, out)
+	out.Add(op.ForgetJob{Job: j.ID, Epoch: epoch})
+}
+
 // adopt takes a chunk that stands in the store.
 func (s *State) adopt(j *Job, c op.ChunkShape, v View, out *op.List) {
 	j.Chunks++
--- a/internal/beat/beat.go
+++ b/internal/beat/beat.go
@@ -137,7 +137,7 @@
 	for _, j := range b.Jobs {
 		has[j.ID] = true
 		if epoch, mine := own[j.ID]; mine {
-			if j.Epoch > epoch || j.Epoch == epoch && b.Instance < s.Self {
+			if j.Epoch > epoch {
 				lost = append(lost, j.ID)
 			} else {
 				continue
--- a/internal/cli/hosted.go
+++ b/internal/cli/hosted.go
@@ -37,6 +37,9 @@
 	hostedHeader = 5 * time.Second
 	// memoryPart is the part of the memory limit that the collector aims at.
 	memoryPart = 0.6
+	// heapGrowth is how much the heap may grow between collections, in percent:
+	// memory is dearer than processor time on small instances.
+	heapGrowth = 40
 	// stopSpare is kept of the time between the stop signal and the kill.
 	stopSpare = 1200 * time.Millisecond
 	// stopPoll is the time between looks whether a stopping instance is idle.
@@ -82,6 +85,7 @@
 	}
 	if site.Memory > 0 {
 		debug.SetMemoryLimit(int64(float64(site.Memory) * memoryPart))
+		debug.SetGCPercent(heapGrowth)
 	}
 	app := fx.New(
 		fx.NopLogger, fx.Supply(site, f), fx.Supply(log),
--- a/internal/edge/content.go
+++ b/internal/edge/content.go
@@ -23,8 +23,10 @@
 	job    platform.Job
 	// index maps an item's id to its number.
 	index map[string]int
-	// epoch is that under which this instance owns the job.
-	epoch unit.Epoch
+	// epoch is that under which this instance owns the job. Until it is claimed,
+	// a former owner may still add results, so none are shown from here.
+	epoch   unit.Epoch
+	claimed bool
 	// results stand in the store, in this order; chunks counts the chunks that
 	// they came in.
 	results []platform.Result
@@ -58,8 +60,10 @@
 
 // chunkRecord is a chunk of a job's results as it stands in the store.
 type chunkRecord struct {
-	Results []platform.Result
-	Ended   bool
+	Owner   unit.Instance
+	Epoch   unit.Epoch
+	Results []platform.Result `json:",omitempty"`
+	Ended   bool              `json:",omitempty"`
 }
 
 func newContent() *Content { return &Content{jobs: make(map[string]*jobContent)} }
@@ -113,7 +117,7 @@
 // add appends chunk number n, which stands in the store, and frees the texts in
 // it. It returns false if that is not the next chunk.
 func (j *jobContent) add(n int, chunk chunkRecord) (op.ChunkShape, bool) {
-	shape := op.ChunkShape{Ended: chunk.Ended}
+	shape := op.ChunkShape{Ended: chunk.Ended, Owner: chunk.Owner, Epoch: chunk.Epoch}
 	if n != j.chunks {
 		return shape, false
 	}
@@ -138,7 +142,7 @@
 
 // chunk makes the record of a chunk from the texts at hand.
 func (j *jobContent) chunk(e op.AppendChunk) chunkRecord {
-	c := chunkRecord{Ended: e.Ended}
+	c := chunkRecord{Ended: e.Ended, Epoch: e.Epoch}
 	for _, i := range e.Done {
 		t := &j.texts[i]
 		c.Results = append(c.Results, platform.Result{
--- a/internal/edge/feeds.go
+++ b/internal/edge/feeds.go
@@ -17,7 +17,7 @@
 	// configurationWait is how long a watch of the configuration waits: each
 	// end confirms that nothing has changed, well within the bound of
 	// withdrawn keys.
-	configurationWait = 1200 * time.Millisecond
+	configurationWait = 2 * time.Second
 	// targetsWait keeps a silent connection from hiding a leaving target for
 	// longer than its drain.
 	targetsWait = 3 * time.Second
@@ -25,6 +25,9 @@
 	// hide what is less urgent.
 	versionsWait  = 4 * time.Second
 	instancesWait = 25 * time.Second
+	// gather is the pause after changes of targets, which come in groups: each
+	// call to the store is paid for.
+	gather = 150 * time.Millisecond
 	// feedPause is the pause after a failed call; it doubles up to feedPauseMost.
 	feedPause     = 100 * time.Millisecond
 	feedPauseMost = 400 * time.Millisecond
@@ -40,7 +43,9 @@
 	changed func(platform.Change)
 	// heard is told that all changes up to a time are known; it may be nil.
 	heard func(askedAt clock.Millis)
-	lost  bool
+	// gather is the pause after changes, so that the next call brings several.
+	gather time.Duration
+	lost   bool
 }
 
 // run lists the objects and then waits for changes, until ctx ends.
@@ -60,10 +65,7 @@
 			continue
 		}
 		f.failed(ctx, err)
-		select {
-		case <-time.After(pause):
-		case <-ctx.Done():
-		}
+		sleep(ctx, pause)
 		pause = min(pause*2, feedPauseMost)
 	}
 }
@@ -91,9 +93,20 @@
 		asked += wait
 	}
 	f.confirm(asked)
+	if len(changes) > 0 && f.gather > 0 {
+		sleep(ctx, f.gather)
+	}
 	return max(next, rev), nil
 }
 
+// sleep waits, or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
 func (f *feed) confirm(asked clock.Millis) {
 	if f.heard != nil {
 		f.heard(asked)
@@ -141,7 +154,7 @@
 }
 
 func (p *Process) followTargets(ctx context.Context) {
-	f := &feed{p: p, kind: p.out.Kinds.Targets, wait: targetsWait}
+	f := &feed{p: p, kind: p.out.Kinds.Targets, wait: targetsWait, gather: gather}
 	f.listed = func(objects []platform.Object) {
 		var e op.TargetsListed
 		for _, o := range objects {
@@ -182,6 +195,25 @@
 	return t, true
 }
 
+// dutiesChanged starts or ends what only the holder of the lease follows.
+func (p *Process) dutiesChanged(e op.DutiesChanged) {
+	if p.endDuties != nil {
+		p.endDuties()
+		p.endDuties = nil
+	}
+	if !e.Held {
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	p.endDuties = cancel
+	p.tasks.Go(func(own context.Context) {
+		stop := context.AfterFunc(own, cancel)
+		defer stop()
+		defer cancel()
+		p.followVersions(ctx)
+	})
+}
+
 func (p *Process) followVersions(ctx context.Context) {
 	take := func(o platform.Object) {
 		m, v, err := p.out.Source.Wanted(o)
--- a/internal/edge/items.go
+++ b/internal/edge/items.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -18,9 +19,12 @@
 )
 
 const (
-	// stallAfter is the silence after which a stream is taken to be stuck: far
-	// more than the pause between events, and than a load of weights takes.
-	stallAfter = 1500 * time.Millisecond
+	// stallAfter is how long a target may take to begin an item, and
+	// stallBetween the silence after which a stream that has begun is taken to
+	// be stuck: far more than the pause between events, and than a load of
+	// weights takes.
+	stallAfter   = 1500 * time.Millisecond
+	stallBetween = 1100 * time.Millisecond
 	// longestRun bounds the time that a target is given for an item.
 	longestRun clock.Millis = 30 * clock.Second
 )
@@ -37,8 +41,9 @@
 
 // runItem starts a run of an item.
 func (p *Process) runItem(e op.RunItem) {
-	ctx, cancel := context.WithCancel(context.Background())
-	p.runs.Store(e.Run, cancel)
+	ctx, cancelCause := context.WithCancelCause(context.Background())
+	cancel := func() { cancelCause(context.Canceled) }
+	p.runs.Store(e.Run, cancelCause)
 	p.content.with(e.Job, func(c *jobContent) { c.texts[e.Item].run = e.Run })
 	p.tasks.Go(func(own context.Context) {
 		defer p.runs.Delete(e.Run)
@@ -51,10 +56,58 @@
 
 func (p *Process) stopItem(e op.StopItem) {
 	if cancel, ok := p.runs.Load(e.Run); ok {
-		cancel.(context.CancelFunc)()
+		cancel.(context.CancelCauseFunc)(context.Canceled)
 	}
 }
 
+// errMoved ends a run whose item goes on at another target.
+var errMoved = errors.New("item goes on at another target")
+
+func (p *Process) moveItem(e op.MoveItem) {
+	if cancel, ok := p.runs.Load(e.Run); ok {
+		cancel.(context.CancelCauseFunc)(errMoved)
+	}
+}
+
+// paces adds up the times between events by target.
+type paces struct {
+	mu  sync.Mutex
+	sum map[unit.Target]pace
+}
+
+type pace struct {
+	millis clock.Millis
+	events int
+}
+
+// paceEvents is the least number of events of a round from which a pace is
+// told.
+const paceEvents = 3
+
+func (x *paces) add(t unit.Target, millis clock.Millis) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.sum == nil {
+		x.sum = make(map[unit.Target]pace)
+	}
+	s := x.sum[t]
+	x.sum[t] = pace{s.millis + millis, s.events + 1}
+}
+
+// take returns the means of the round that ends now.
+func (x *paces) take() op.Paces {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	e := op.Paces{Millis: make(map[unit.Target]float64, len(x.sum))}
+	for t, s := range x.sum {
+		if s.events >= paceEvents {
+			e.Millis[t] = float64(s.millis) / float64(s.events)
+		}
+	}
+	x.sum = nil
+	return e
+}
+
 // run is one run of an item at a target.
 type run struct {
 	p       *Process
@@ -64,6 +117,8 @@
 	last    int64
 	events  int
 	stall   *time.Timer
+	// at is when the last event came.
+	at clock.Millis
 }
 
 func (p *Process) runOnce(ctx context.Context, cancel func(), e op.RunItem) {
@@ -71,6 +126,9 @@
 	r.stall = time.AfterFunc(stallAfter, cancel)
 	defer r.stall.Stop()
 	end, err := r.do(ctx)
+	if end == op.ItemBroken && errors.Is(context.Cause(ctx), errMoved) {
+		end, err = op.ItemMoved, nil
+	}
 	if end == op.ItemBroken && errors.Is(err, errMixedVersions) {
 		p.content.with(e.Job, func(c *jobContent) {
 			if c.texts[e.Item].run == e.Run {
@@ -153,7 +211,8 @@
 		if err != nil {
 			return op.ItemBroken, err
 		}
-		r.stall.Reset(stallAfter)
+		r.stall.Reset(stallBetween)
+		r.pace()
 		if ev.Version > 0 {
 			r.version = ev.Version
 		}
@@ -166,6 +225,15 @@
 	}
 }
 
+// pace notes the time since the event before.
+func (r *run) pace() {
+	now := r.p.clock.Now()
+	if r.at > 0 {
+		r.p.paces.add(r.e.Target, now-r.at)
+	}
+	r.at = now
+}
+
 func (r *run) checkVersion() (op.ItemEnd, error) {
 	if r.version < r.e.MinVersion {
 		return op.ItemOldVersion, errOldVersion
--- a/internal/edge/jobs.go
+++ b/internal/edge/jobs.go
@@ -68,7 +68,7 @@
 func (f *front) accepted(created bool, record jobRecord, job platform.Job) {
 	if created {
 		c := newJobContent(record, job)
-		c.epoch = 1
+		c.epoch, c.claimed = 1, true
 		if f.p.content.put(job.ID, c) {
 			f.p.apply(op.JobTaken{Shape: c.shape(), Epoch: 1})
 		}
@@ -200,6 +200,7 @@
 		return
 	}
 	chunk = fit(chunk)
+	chunk.Owner = p.site.Instance
 	value, err := json.Marshal(chunk)
 	if err != nil {
 		p.log.WithFields(logrus.Fields{"Job": e.Job, "Error": err.Error()}).Error("results not encoded")
@@ -296,11 +297,14 @@
 	var a batchAnswer
 	var changed chan struct{}
 	found := p.content.with(call.Job, func(c *jobContent) {
+		if !c.claimed && !c.ended {
+			return
+		}
 		a = p.answer(c, w, call)
 		changed = c.changed
 		wait = p.holdBack(c, call, wait)
 	})
-	if !found {
+	if !found || a.status == 0 {
 		return batchAnswer{}
 	}
 	if call.Call == platform.EndJob && a.status == http.StatusOK {
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -20,6 +20,10 @@
 // tickEvery is the time between ticks.
 const tickEvery = 50 * time.Millisecond
 
+// paceTicks is how many ticks make a round in which the paces of targets are
+// compared.
+const paceTicks = 6
+
 // ObjectStore is what an instance needs of the platform's store.
 type ObjectStore interface {
 	platform.Store
@@ -59,9 +63,13 @@
 	calls  sync.Map
 	nextID atomic.Int64
 	// runs holds the cancel function of each run of an item.
-	runs   sync.Map
-	active atomic.Int64
-	relay  *Relay
+	runs  sync.Map
+	paces paces
+	// endDuties ends what the holder of the lease follows; only the goroutine
+	// of ticks uses it.
+	endDuties context.CancelFunc
+	active    atomic.Int64
+	relay     *Relay
 }
 
 // New returns a process that does not run yet.
@@ -90,7 +98,6 @@
 	p.tasks.Go(p.receiveBeats)
 	p.tasks.Go(p.followConfiguration)
 	p.tasks.Go(p.followTargets)
-	p.tasks.Go(p.followVersions)
 	p.tasks.Go(p.followInstances)
 }
 
@@ -103,8 +110,13 @@
 func (p *Process) tick(ctx context.Context) {
 	t := time.NewTicker(tickEvery)
 	defer t.Stop()
-	for {
+	for n := 0; ; n++ {
 		p.apply(op.Tick{Wall: p.clock.Wall()})
+		if n%paceTicks == 0 {
+			if e := p.paces.take(); len(e.Millis) > 0 {
+				p.apply(e)
+			}
+		}
 		select {
 		case <-t.C:
 		case <-ctx.Done():
@@ -150,7 +162,13 @@
 		p.tasks.Go(func(ctx context.Context) { p.appendChunk(ctx, e) })
 	case op.JobListed:
 		p.log.WithFields(logrus.Fields{"Job": e.Job, "Items": len(e.Chunk.Items), "Listed": e.Total, "Ended": e.Chunk.Ended}).Info("results listed")
+	case op.MoveItem:
+		p.moveItem(e)
+	case op.JobClaimed:
+		p.content.with(e.Job, func(c *jobContent) { c.claimed = true })
+		p.log.WithField("Job", e.Job).Info("job claimed")
 	case op.ForgetJob:
+		p.log.WithFields(logrus.Fields{"Job": e.Job, "Epoch": e.Epoch}).Info("job left to another owner")
 		p.content.forget(e.Job, e.Epoch)
 	case op.TakeOver:
 		p.tasks.Go(func(ctx context.Context) { p.takeOver(ctx, e) })
@@ -168,6 +186,8 @@
 		p.tasks.Go(func(ctx context.Context) { p.sealCounts(ctx, e) })
 	case op.SendCounts:
 		p.tasks.Go(func(ctx context.Context) { p.sendCounts(ctx, e) })
+	case op.DutiesChanged:
+		p.dutiesChanged(e)
 	case op.Note:
 		p.note(e)
 	}
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -31,6 +31,10 @@
 	standAfter clock.Millis = 600
 )
 
+// leaseTimes lets a successor act within a few seconds, since trainers wait for
+// versions, and bridges the time of a slow call to the store.
+var leaseTimes = lease.Times{Duration: 3 * clock.Second, Grace: 700, RenewEvery: 900, PollEvery: 250}
+
 // State is all that an instance decides on.
 type State struct {
 	Site    platform.Site
@@ -56,6 +60,7 @@
 	seq            int64
 	beatAt         clock.Millis
 	wasFresh       bool
+	wasHolder      bool
 }
 
 // NewState returns the state of an instance at its start.
@@ -64,7 +69,8 @@
 		Site: site, Self: self, started: now,
 		Roster: roster.State{Here: site.DataCentre},
 		Tally:  tally.State{Self: self, Length: clock.Of(site.Terms.Window)},
-		Leases: lease.State{Self: self},
+		Leases: lease.State{Self: self, Times: leaseTimes},
+		Batch:  batch.State{Self: site.Instance},
 		Beats:  beat.State{Self: site.Instance},
 	}
 }
@@ -113,6 +119,13 @@
 		s.heard(now, e.Beat, &out)
 	case op.PeersListed:
 		s.peersListed(e)
+	case op.Paces:
+		for _, id := range s.Roster.Paces(now, e.Millis) {
+			out.Add(op.Note{Level: "info", Message: "target is slow", Fields: map[string]string{
+				"Target": string(id), "EventMillis": strconv.FormatFloat(e.Millis[id], 'f', 1, 64),
+			}})
+		}
+		s.Batch.Advance(now, s.batchView(), &out)
 	case op.JobSeen:
 		s.Beats.Seen(e.Job)
 	case op.JobsFound:
@@ -135,6 +148,10 @@
 	if now >= s.beatAt {
 		s.sendBeats(now, out)
 	}
+	if _, _, held := s.Leases.Holds(Duties, now); held != s.wasHolder {
+		s.wasHolder = held
+		out.Add(op.DutiesChanged{Held: held})
+	}
 	if fresh := s.Fresh(now); fresh != s.wasFresh {
 		s.wasFresh = fresh
 		out.Add(op.Note{Level: "info", Message: "freshness of the configuration changed", Fields: map[string]string{
@@ -234,6 +251,10 @@
 }
 
 func (s *State) heard(now clock.Millis, b op.Beat, out *op.List) {
+	s.Leases.Heard(now, b.Incarnation)
+	if b.Lease > 0 {
+		s.Leases.Renewed(now, Duties, b.Lease)
+	}
 	own := make(map[string]unit.Epoch, len(s.Batch.Jobs))
 	for id, j := range s.Batch.Jobs {
 		own[id] = j.Epoch
@@ -245,11 +266,23 @@
 		s.Batch.Reduce(now, op.JobDropped{Job: id}, s.batchView(), out)
 		out.Add(op.ForgetJob{Job: id, Epoch: own[id]})
 	}
+	s.sumRunning(now)
 	if len(b.Counts) > 0 {
 		s.Tally.Reduce(now, op.CountsHeard{Source: b.Incarnation, Counts: b.Counts}, s.tallyView(now), out)
 	}
 }
 
+// sumRunning adds up what the live peers have at each target.
+func (s *State) sumRunning(now clock.Millis) {
+	sum := make(map[unit.Target]int)
+	for _, p := range s.Beats.LivePeers(now) {
+		for id, n := range p.Running {
+			sum[id] += n
+		}
+	}
+	s.Roster.Elsewhere(sum)
+}
+
 // peersListed adds instances that were not heard yet, so that they are sent
 // heartbeats.
 func (s *State) peersListed(e op.PeersListed) {
@@ -275,9 +308,15 @@
 	b := op.Beat{
 		Instance: s.Site.Instance, Incarnation: s.Self, Seq: s.seq, Address: s.PeerAddress(),
 		DataCentre: s.Site.DataCentre, Uptime: now - s.started, Leaving: s.Draining, Holder: held,
-		Orphans: s.Beats.Orphans(), Counts: s.Tally.Own(),
+		Orphans: s.Beats.Orphans(), Counts: s.Tally.Own(), Running: s.Roster.Own(),
+	}
+	if l := s.Leases.Leases[Duties]; held && l != nil {
+		b.Lease = l.Revision
 	}
 	for id, j := range s.Batch.Jobs {
+		if !j.Claimed {
+			continue
+		}
 		b.Jobs = append(b.Jobs, op.JobNote{ID: id, Epoch: j.Epoch, Closed: j.Closed()})
 	}
 	e := op.SendBeats{Beat: b}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 
 	"github.com/catkinhead/catkinhead/internal/op"
 	"github.com/catkinhead/catkinhead/pkg/clock"
@@ -25,10 +26,62 @@
 	retryAfter clock.Millis = 300
 )
 
+// restartMargin is how much later than a lease was seen another incarnation of
+// its holder must be heard, so that no delayed datagram of a former incarnation
+// is taken for a later one.
+const restartMargin clock.Millis = 300
+
+// Times are the time limits of leases. The zero value means the constants of
+// the package.
+type Times struct {
+	Duration, Grace, RenewEvery, PollEvery clock.Millis
+}
+
+func (t Times) orDefault() Times {
+	if t.Duration == 0 {
+		return Times{Duration: Duration, Grace: Grace, RenewEvery: renewEvery, PollEvery: pollEvery}
+	}
+	return t
+}
+
 // State is all leases that an instance takes part in. Self must be set.
 type State struct {
 	Self   unit.Incarnation
+	Times  Times
 	Leases map[unit.Scope]*Lease
+	// heard is the incarnation of each instance that was heard last.
+	heard map[unit.Instance]heardIncarnation
+}
+
+type heardIncarnation struct {
+	incarnation unit.Incarnation
+	at          clock.Millis
+}
+
+// Heard notes that an incarnation is alive. A lease that another incarnation
+// of the same instance holds then is free: two never run at a time.
+func (s *State) Heard(now clock.Millis, i unit.Incarnation) {
+	if s.heard == nil {
+		s.heard = make(map[unit.Instance]heardIncarnation)
+	}
+	s.heard[instanceOf(i)] = heardIncarnation{i, now}
+}
+
+// Renewed notes that a lease stood at a revision, as its holder said.
+func (s *State) Renewed(now clock.Millis, scope unit.Scope, rev unit.Revision) {
+	s.Want(scope, s.Leases[scope] != nil && s.Leases[scope].Wanted)
+	if s.Leases[scope] == nil {
+		s.Want(scope, true)
+		s.Want(scope, false)
+	}
+	if l := s.Leases[scope]; rev > l.ToldRevision {
+		l.ToldRevision, l.ToldAt = rev, now
+	}
+}
+
+func instanceOf(i unit.Incarnation) unit.Instance {
+	name, _, _ := strings.Cut(string(i), "#")
+	return unit.Instance(name)
 }
 
 // Lease is one lease as this instance sees it.
@@ -43,6 +96,9 @@
 	Record   op.LeaseRecord
 	Revision unit.Revision
 	SeenAt   clock.Millis
+	// ToldRevision is the newest revision that the holder told of, at ToldAt.
+	ToldRevision unit.Revision
+	ToldAt       clock.Millis
 	// Known is set once the object was read.
 	Known bool
 	// Busy is set while a call is under way, so that there is one at a time.
@@ -138,12 +194,15 @@
 
 func (s *State) read(now clock.Millis, l *Lease, e op.LeaseRead, out *op.List) {
 	l.Busy = false
-	l.NextAt = now + pollEvery
+	l.NextAt = now + s.Times.orDefault().PollEvery
 	if e.Result != op.Done {
 		return
 	}
 	if !l.Known || l.Revision != e.Revision {
 		l.Known, l.Record, l.Revision, l.SeenAt = true, e.Record, e.Revision, now
+		if l.ToldRevision == e.Revision {
+			l.SeenAt = l.ToldAt
+		}
 	}
 	if !l.Wanted || l.Held || !s.mayTake(now, l) {
 		return
@@ -159,7 +218,25 @@
 	if l.Record.Holder == "" || l.Record.Holder == s.Self {
 		return true
 	}
-	return now-l.SeenAt >= Duration+Grace
+	if s.restarted(l) {
+		return true
+	}
+	t := s.Times.orDefault()
+	return now-l.SeenAt >= t.Duration+t.Grace
+}
+
+// restarted tells whether the incarnation that holds the lease has ended, since
+// another of its instance runs.
+func (s *State) restarted(l *Lease) bool {
+	holder := instanceOf(l.Record.Holder)
+	if s.heard == nil || holder == "" {
+		return false
+	}
+	if holder == instanceOf(s.Self) {
+		return true
+	}
+	h := s.heard[holder]
+	return h.incarnation != "" && h.incarnation != l.Record.Holder && h.at >= l.SeenAt+restartMargin
 }
 
 func (s *State) written(now clock.Millis, l *Lease, e op.LeaseWritten, out *op.List) {
@@ -168,9 +245,9 @@
 	case op.Done:
 		gained := !l.Held && e.Record.Holder == s.Self
 		l.Known, l.Record, l.Revision, l.SeenAt = true, e.Record, e.Revision, now
-		l.Held = e.Record.Holder == s.Self && now < e.SentAt+Duration
-		l.Until = e.SentAt + Duration
-		l.NextAt = now + renewEvery
+		l.Until = e.SentAt + s.Times.orDefault().Duration
+		l.Held = e.Record.Holder == s.Self && now < l.Until
+		l.NextAt = now + s.Times.orDefault().RenewEvery
 		if gained && l.Held {
 			note(out, "lease gained", e.Scope, e.Record)
 		}
@@ -190,7 +267,7 @@
 // the lease is let go early enough to read it back.
 func (s *State) unknown(now clock.Millis, l *Lease) {
 	l.NextAt = now + retryAfter
-	if l.Held && now+Duration/4 >= l.Until {
+	if l.Held && now+s.Times.orDefault().Duration/4 >= l.Until {
 		l.Held = false
 	}
 }
--- a/internal/op/hosted.go
+++ b/internal/op/hosted.go
@@ -79,6 +79,10 @@
 	Version unit.Version
 }
 
+// Paces brings the mean time between events at each target, in milliseconds,
+// over the time since the last such event.
+type Paces struct{ Millis map[unit.Target]float64 }
+
 // JobShape is a job without its content.
 type JobShape struct {
 	ID         string
@@ -117,6 +121,9 @@
 	Items []int
 	// Ended is set on the last chunk.
 	Ended bool
+	// Owner wrote the chunk under an epoch.
+	Owner unit.Instance
+	Epoch unit.Epoch
 }
 
 // ItemEnd says how a run of an item ended.
@@ -128,6 +135,8 @@
 	ItemWhole ItemEnd = "Whole"
 	// ItemBroken means that the stream broke; it may go on elsewhere.
 	ItemBroken ItemEnd = "Broken"
+	// ItemMoved means that the run was ended by MoveItem.
+	ItemMoved ItemEnd = "Moved"
 	// ItemNotRun means that the target did not take the item.
 	ItemNotRun ItemEnd = "NotRun"
 	// ItemFailed is a failure that counts as an attempt.
@@ -258,6 +267,13 @@
 	Until         clock.Millis
 }
 
+// MoveItem ends a run so that the item goes on at another target.
+type MoveItem struct {
+	Job  string
+	Item int
+	Run  int64
+}
+
 // StopItem breaks a run off.
 type StopItem struct {
 	Job  string
@@ -272,6 +288,7 @@
 	// Done are items with a whole output, GivenUp those without.
 	Done, GivenUp []int
 	Ended         bool
+	Epoch         unit.Epoch
 }
 
 // JobListed says that more results stand at their positions.
@@ -281,12 +298,20 @@
 	Total int
 }
 
+// JobClaimed says that this instance's claim stands in the chain, so that it
+// knows all results up to there, and no former owner adds any.
+type JobClaimed struct{ Job string }
+
 // JobEnded answers EndAsked.
 type JobEnded struct{ Call CallID }
 
 // OrderVersion orders a target to take a version.
 type OrderVersion struct{ Order platform.VersionOrder }
 
+// DutiesChanged says that the lease of the duties was gained or lost. It comes
+// with ticks only.
+type DutiesChanged struct{ Held bool }
+
 // SealCounts writes a window's counts once.
 type SealCounts struct {
 	Window unit.Window
@@ -316,18 +341,21 @@
 func (CountsSealed) event()  {}
 func (CountsSent) event()    {}
 
-func (PassOn) effect()       {}
-func (TakeJob) effect()      {}
-func (ServeBatch) effect()   {}
-func (Respond) effect()      {}
-func (RunItem) effect()      {}
-func (StopItem) effect()     {}
-func (AppendChunk) effect()  {}
-func (JobListed) effect()    {}
-func (JobEnded) effect()     {}
-func (OrderVersion) effect() {}
-func (SealCounts) effect()   {}
-func (SendCounts) effect()   {}
+func (PassOn) effect()        {}
+func (TakeJob) effect()       {}
+func (ServeBatch) effect()    {}
+func (Respond) effect()       {}
+func (RunItem) effect()       {}
+func (StopItem) effect()      {}
+func (AppendChunk) effect()   {}
+func (JobListed) effect()     {}
+func (JobEnded) effect()      {}
+func (JobClaimed) effect()    {}
+func (MoveItem) effect()      {}
+func (DutiesChanged) effect() {}
+func (OrderVersion) effect()  {}
+func (SealCounts) effect()    {}
+func (SendCounts) effect()    {}
 
 // Beat is what an instance tells its peers.
 type Beat struct {
@@ -344,6 +372,10 @@
 	Jobs    []JobNote     `json:",omitempty"`
 	Orphans []string      `json:",omitempty"`
 	Counts  []WindowCount `json:",omitempty"`
+	// Lease is the revision of the lease that the holder renewed last.
+	Lease unit.Revision `json:",omitempty"`
+	// Running are the attempts that the instance has at each target.
+	Running map[unit.Target]int `json:",omitempty"`
 }
 
 // JobNote is a job that an instance owns.
@@ -388,6 +420,7 @@
 func (PeersListed) event() {}
 func (JobsFound) event()   {}
 func (JobSeen) event()     {}
+func (Paces) event()       {}
 
 func (SendBeats) effect() {}
 func (TakeOver) effect()  {}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -17,6 +17,13 @@
 	// suspectFor is how long a target that failed is used only if no other is
 	// left. It doubles with each failure in a row.
 	suspectFor clock.Millis = 500
+	// slowTimes is how many times the median pace of its pool makes a target
+	// slow, slowRounds for how many rounds, slowAmong among how many targets.
+	slowTimes  = 1.7
+	slowRounds = 2
+	slowAmong  = 3
+	// slowFor is how long a slow target is passed over before it is tried again.
+	slowFor clock.Millis = 2500
 	// maxSuspect bounds that time.
 	maxSuspect clock.Millis = 4 * clock.Second
 )
@@ -29,6 +36,12 @@
 	GoneAt clock.Millis
 	// Running counts the attempts of this instance that it has now.
 	Running int
+	// Elsewhere counts the attempts of other instances, as they told.
+	Elsewhere int
+	// SlowRounds counts the rounds in a row in which its events came slowly;
+	// SlowUntil is how long it is passed over for that.
+	SlowRounds int
+	SlowUntil  clock.Millis
 	// Failures counts failed attempts in a row; SuspectUntil follows from them.
 	Failures     int
 	SuspectUntil clock.Millis
@@ -185,6 +198,71 @@
 	t.SuspectUntil = now + min(suspectFor<<min(t.Failures-1, 8), maxSuspect)
 }
 
+// Taken counts the attempts that the target has, as far as they are known.
+func (t *Target) Taken() int { return t.Running + t.Elsewhere }
+
+// Free returns how many slots are free.
+func (t *Target) Free() int { return max(t.Slots, 1) - t.Taken() }
+
+// Slow tells whether a target's events come too slowly.
+func (s *State) Slow(now clock.Millis, id unit.Target) bool {
+	t := s.Targets[id]
+	return t != nil && now < t.SlowUntil
+}
+
+// Paces takes the mean times between events of a round. A target that is much
+// slower than the median of its pool, in two rounds, is slow for a while.
+func (s *State) Paces(now clock.Millis, millis map[unit.Target]float64) []unit.Target {
+	byPool := make(map[unit.Pool][]float64)
+	for id, ms := range millis {
+		if t := s.Targets[id]; t != nil {
+			byPool[t.Pool] = append(byPool[t.Pool], ms)
+		}
+	}
+	var slow []unit.Target
+	for _, id := range slices.Sorted(maps.Keys(millis)) {
+		t := s.Targets[id]
+		if t == nil || len(byPool[t.Pool]) < slowAmong {
+			continue
+		}
+		if millis[id] < slowTimes*median(byPool[t.Pool]) {
+			t.SlowRounds = 0
+			continue
+		}
+		t.SlowRounds++
+		if t.SlowRounds >= slowRounds {
+			if now >= t.SlowUntil {
+				slow = append(slow, id)
+			}
+			t.SlowUntil = now + slowFor
+		}
+	}
+	return slow
+}
+
+func median(xs []float64) float64 {
+	slices.Sort(xs)
+	return xs[(len(xs)-1)/2]
+}
+
+// Elsewhere takes what other instances have at targets.
+func (s *State) Elsewhere(sum map[unit.Target]int) {
+	for id, t := range s.Targets {
+		t.Elsewhere = sum[id]
+	}
+}
+
+// Own returns what this instance has at targets.
+func (s *State) Own() map[unit.Target]int {
+	out := make(map[unit.Target]int)
+	for id, t := range s.Targets {
+		if t.Running > 0 {
+			out[id] = t.Running
+		}
+	}
+	return out
+}
+
 // VersionOf returns the version of a model that a target has, 0 for none.
 func (t *Target) VersionOf(m unit.Model) unit.Version {
 	for _, s := range t.Models {
