--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -149,6 +149,16 @@
 	return jobs
 }
 
+// Idle tells whether no job is left to work on.
+func (s *State) Idle() bool {
+	for _, j := range s.Jobs {
+		if !j.Closed() {
+			return false
+		}
+	}
+	return true
+}
+
 // Closed tells whether nothing more will be listed.
 func (j *Job) Closed() bool { return j.Ended || j.Listed == len(j.Items) && !j.Ending }
 
--- a/internal/cli/hosted.go
+++ b/internal/cli/hosted.go
@@ -40,8 +40,11 @@
 	// heapGrowth is how much the heap may grow between collections, in percent:
 	// memory is dearer than processor time on small instances.
 	heapGrowth = 40
-	// stopSpare is kept of the time between the stop signal and the kill.
-	stopSpare = 1200 * time.Millisecond
+	// stopSpare is kept of the time between the stop signal and the kill for the
+	// requests that are under way when the listeners close, closeWithin is
+	// what they get of it.
+	stopSpare   = 2500 * time.Millisecond
+	closeWithin = 2 * time.Second
 	// stopPoll is the time between looks whether a stopping instance is idle.
 	stopPoll = 50 * time.Millisecond
 	// readyLag is how long after the stop signal callers may still be sent
@@ -189,12 +192,8 @@
 		}
 		time.Sleep(stopPoll)
 	}
-	left := limit - time.Since(began)
-	if left <= 0 {
-		log.Warn("planned stop ends with work left")
-		return
-	}
-	stop, cancel := context.WithTimeout(ctx, left)
+	log.WithFields(logrus.Fields{"Idle": p.Idle(), "TookMillis": time.Since(began).Milliseconds()}).Info("listeners close")
+	stop, cancel := context.WithTimeout(ctx, closeWithin)
 	defer cancel()
 	if err := front.Shutdown(stop); err != nil {
 		log.WithField("Error", err.Error()).Warn("planned stop ends with connections left")
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -214,7 +214,7 @@
 // Idle tells whether nothing is left that a planned stop waits for.
 func (p *Process) Idle() bool {
 	idle := false
-	p.ask(func(_ clock.Millis, s *State) { idle = s.Forward.Idle() && len(s.Batch.Jobs) == 0 })
+	p.ask(func(_ clock.Millis, s *State) { idle = s.Forward.Idle() && s.Batch.Idle() })
 	return idle && p.active.Load() == 0
 }
 
