roll: load half of the targets for each version, once no item waits

Change: a job takes versions that are one older, so a target loads only every other version; what the next job could not use loads at once, half of the others after the waiting items are placed. At most two loads at a time, or a fifth of a large pool. Heartbeats tell what jobs wait for. A target that refused gets one item to try before it gets more.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -86,8 +86,9 @@
 type State struct {
 	Self unit.Instance
 	Jobs map[string]*Job
-	// Refused holds until when a target is passed over for a model.
-	Refused map[refusal]clock.Millis
+	// Refused holds the targets that took no item of a model lately. After Until
+	// one item at a time is tried there.
+	Refused map[refusal]*probe
 	run     int64
 }
 
@@ -96,6 +97,12 @@
 	Model  unit.Model
 }
 
+type probe struct {
+	until clock.Millis
+	// run is the one that tries the target, 0 for none.
+	run int64
+}
+
 // View is what decisions on jobs rest on.
 type View struct {
 	Roster *roster.State
@@ -117,6 +124,11 @@
 		s.appended(now, e, v, out)
 	case op.EndAsked:
 		s.endAsked(e, v, out)
+	case op.VersionSeen:
+		if _, refused := s.Refused[refusal{e.Target, e.Model}]; !refused {
+			return
+		}
+		delete(s.Refused, refusal{e.Target, e.Model})
 	}
 	s.Advance(now, v, out)
 }
@@ -165,7 +177,7 @@
 func (s *State) taken(now clock.Millis, e op.JobTaken, v View, out *op.List) {
 	if s.Jobs == nil {
 		s.Jobs = make(map[string]*Job)
-		s.Refused = make(map[refusal]clock.Millis)
+		s.Refused = make(map[refusal]*probe)
 	}
 	if old := s.Jobs[e.Shape.ID]; old != nil {
 		old.Epoch = max(old.Epoch, e.Epoch)
@@ -227,15 +239,19 @@
 		return
 	}
 	it.Phase, it.Last = waiting, e.Last
+	if p := s.Refused[refusal{e.Target, it.Model}]; p != nil && p.run == e.Run {
+		p.run = 0
+	}
 	v.Roster.Ended(now, e.Target, e.End == op.ItemBroken)
 	switch e.End {
 	case op.ItemWhole:
 		it.Phase = done
+		delete(s.Refused, refusal{e.Target, it.Model})
 	case op.ItemMoved:
 	case op.ItemNotRun:
-		s.Refused[refusal{e.Target, it.Model}] = now + refusedFor
+		s.Refused[refusal{e.Target, it.Model}] = &probe{until: now + refusedFor}
 	case op.ItemOldVersion:
-		s.Refused[refusal{e.Target, it.Model}] = now + oldFor
+		s.Refused[refusal{e.Target, it.Model}] = &probe{until: now + oldFor}
 	case op.ItemImpossible:
 		it.Phase = givenUp
 	case op.ItemFailed:
@@ -321,6 +337,9 @@
 		s.run++
 		it.Phase, it.Run, it.Target, it.Moving = running, s.run, t.Target, false
 		v.Roster.Began(t.Target)
+		if p := s.Refused[refusal{t.Target, it.Model}]; p != nil {
+			p.run = it.Run
+		}
 		out.Add(op.RunItem{
 			Job: j.ID, Item: i, Run: it.Run, Target: t.Target, Address: t.Address, Model: it.Model,
 			MinVersion: j.MinVersion, SingleVersion: rule.SingleVersion, After: it.Last, Until: j.GiveUpAt,
@@ -344,7 +363,35 @@
 
 // fits tells whether a target may run an item now.
 func (s *State) fits(now clock.Millis, j *Job, it *Item, t *roster.Target) bool {
-	return now >= t.SuspectUntil && now >= s.Refused[refusal{t.Target, it.Model}] && t.VersionOf(it.Model) >= j.MinVersion
+	if p := s.Refused[refusal{t.Target, it.Model}]; p != nil && (now < p.until || p.run != 0) {
+		return false
+	}
+	return now >= t.SuspectUntil && t.VersionOf(it.Model) >= j.MinVersion
+}
+
+// Demands returns what the open jobs wait for, by model.
+func (s *State) Demands() []op.Demand {
+	byModel := make(map[unit.Model]*op.Demand)
+	for _, j := range s.byDue() {
+		for i := range j.Items {
+			it := &j.Items[i]
+			d := byModel[it.Model]
+			if d == nil {
+				d = &op.Demand{Model: it.Model}
+				byModel[it.Model] = d
+			}
+			d.Newest = max(d.Newest, j.MinVersion)
+			if it.Phase == waiting && !j.Ending {
+				d.Waiting++
+				d.MinWaiting = max(d.MinWaiting, j.MinVersion)
+			}
+		}
+	}
+	var out []op.Demand
+	for _, m := range slices.Sorted(maps.Keys(byModel)) {
+		out = append(out, *byModel[m])
+	}
+	return out
 }
 
 // better prefers targets that are not slow, then those with the smaller part of
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"strconv"
 
 	"github.com/catkinhead/catkinhead/internal/batch"
@@ -61,6 +62,8 @@
 	beatAt         clock.Millis
 	wasFresh       bool
 	wasHolder      bool
+	// waited is whether the last heartbeat told of waiting items.
+	waited bool
 }
 
 // NewState returns the state of an instance at its start.
@@ -103,6 +106,7 @@
 		s.advance(now, &out)
 	case op.VersionSeen:
 		s.Roster.VersionSeen(e.Target, e.Model, e.Version)
+		s.Batch.Reduce(now, e, s.batchView(), &out)
 	case op.VersionWanted, op.OrderEnded:
 		s.Roll.Reduce(now, ev, s.rollView(now), &out)
 	case op.JobTaken:
@@ -145,7 +149,7 @@
 	s.Beats.Tick(now, s.Draining, out)
 	s.advance(now, out)
 	s.Tally.Advance(now, s.tallyView(now), out)
-	if now >= s.beatAt {
+	if now >= s.beatAt || s.waited && !waits(s.Batch.Demands()) {
 		s.sendBeats(now, out)
 	}
 	if _, _, held := s.Leases.Holds(Duties, now); held != s.wasHolder {
@@ -235,7 +239,14 @@
 
 func (s *State) rollView(now clock.Millis) roll.View {
 	fence, until, _ := s.Leases.Holds(Duties, now)
-	return roll.View{Roster: &s.Roster, Table: s.Table, Self: s.Site.Instance, Fence: fence, Until: until}
+	v := roll.View{Roster: &s.Roster, Table: s.Table, Self: s.Site.Instance, Fence: fence, Until: until}
+	if fence > 0 {
+		v.Demands = append(v.Demands, s.Batch.Demands()...)
+		for _, p := range s.Beats.LivePeers(now) {
+			v.Demands = append(v.Demands, p.Demands...)
+		}
+	}
+	return v
 }
 
 func (s *State) tallyView(now clock.Millis) tally.View {
@@ -308,7 +319,7 @@
 	b := op.Beat{
 		Instance: s.Site.Instance, Incarnation: s.Self, Seq: s.seq, Address: s.PeerAddress(),
 		DataCentre: s.Site.DataCentre, Uptime: now - s.started, Leaving: s.Draining, Holder: held,
-		Orphans: s.Beats.Orphans(), Counts: s.Tally.Own(), Running: s.Roster.Own(),
+		Orphans: s.Beats.Orphans(), Counts: s.Tally.Own(), Running: s.Roster.Own(), Demands: s.Batch.Demands(),
 	}
 	if l := s.Leases.Leases[Duties]; held && l != nil {
 		b.Lease = l.Revision
@@ -324,6 +335,12 @@
 		e.Addresses = append(e.Addresses, p.Address)
 	}
 	out.Add(e)
+	s.waited = waits(b.Demands)
+}
+
+// waits tells whether any item waits for a target.
+func waits(ds []op.Demand) bool {
+	return slices.ContainsFunc(ds, func(d op.Demand) bool { return d.Waiting > 0 })
 }
 
 // PeerAddress is where peers reach this instance.
--- a/internal/op/hosted.go
+++ b/internal/op/hosted.go
@@ -374,10 +374,23 @@
 	Counts  []WindowCount `json:",omitempty"`
 	// Lease is the revision of the lease that the holder renewed last.
 	Lease unit.Revision `json:",omitempty"`
+	// Demands are what the instance's jobs wait for.
+	Demands []Demand `json:",omitempty"`
 	// Running are the attempts that the instance has at each target.
 	Running map[unit.Target]int `json:",omitempty"`
 }
 
+// Demand is what the open jobs of a model wait for at one instance.
+type Demand struct {
+	Model unit.Model
+	// Newest is the oldest version that the newest job takes.
+	Newest unit.Version
+	// Waiting counts the items that wait for a target, MinWaiting is the
+	// highest version that one of them needs.
+	Waiting    int
+	MinWaiting unit.Version
+}
+
 // JobNote is a job that an instance owns.
 type JobNote struct {
 	ID     string
--- a/internal/roll/roll.go
+++ b/internal/roll/roll.go
@@ -22,9 +22,16 @@
 	// loadTime is how long an accepted load may stay invisible before it is
 	// ordered again: the load itself, and the lag of the target's entry.
 	loadTime clock.Millis = 4 * clock.Second
-	// loadsAtOnce is how many targets of a model load at the same time; more
-	// make each load slower.
-	loadsAtOnce = 2
+	// leastLoads is how many targets of a pool may load at the same time; a
+	// large pool may load one in loadsPart. More make each load slower.
+	leastLoads = 2
+	loadsPart  = 5
+	// jobLag is how long after a version was named the job that comes with it
+	// may be unknown here.
+	jobLag clock.Millis = 400
+	// deferMost is how long a load waits for items that the target could still
+	// take under the version that it has.
+	deferMost clock.Millis = 3 * clock.Second
 )
 
 // State is the versions wanted and the orders under way.
@@ -33,6 +40,10 @@
 	// Assigned is the model of each target, while it is a target.
 	Assigned map[unit.Target]unit.Model
 	orders   map[unit.Target]*order
+	// namedAt is when the version wanted of a model rose last; strict models
+	// have jobs that take no older version.
+	namedAt map[unit.Model]clock.Millis
+	strict  map[unit.Model]bool
 }
 
 type order struct {
@@ -51,6 +62,8 @@
 	Self   unit.Instance
 	Fence  unit.Fence
 	Until  clock.Millis
+	// Demands are what the jobs of all instances wait for.
+	Demands []op.Demand
 }
 
 // Reduce handles named versions and the ends of orders.
@@ -59,8 +72,12 @@
 	case op.VersionWanted:
 		if s.Wanted == nil {
 			s.Wanted = make(map[unit.Model]unit.Version)
+			s.namedAt = make(map[unit.Model]clock.Millis)
+			s.strict = make(map[unit.Model]bool)
+		}
+		if e.Version > s.Wanted[e.Model] {
+			s.Wanted[e.Model], s.namedAt[e.Model] = e.Version, now
 		}
-		s.Wanted[e.Model] = max(s.Wanted[e.Model], e.Version)
 	case op.OrderEnded:
 		s.ended(now, e)
 	}
@@ -174,8 +191,35 @@
 	}
 }
 
+// order sends the orders that are due, those that jobs wait for first.
 func (s *State) order(now clock.Millis, targets []*roster.Target, v View, out *op.List) {
-	loading := make(map[unit.Model]int)
+	loading := s.settle(now, targets)
+	most := max(leastLoads, len(targets)/loadsPart)
+	for _, must := range []bool{true, false} {
+		for _, t := range targets {
+			if loading >= most {
+				return
+			}
+			m := s.Assigned[t.Target]
+			if o := s.orders[t.Target]; o != nil && (o.sending || now < o.again) {
+				continue
+			}
+			if !s.due(now, t, m, targets, must, v) {
+				continue
+			}
+			s.orders[t.Target] = &order{model: m, version: s.Wanted[m], sending: true}
+			loading++
+			out.Add(op.OrderVersion{Order: platform.VersionOrder{
+				Target: t.Target, Address: t.Address, Model: m, Version: s.Wanted[m],
+				Holder: v.Self, Fence: v.Fence, SendBefore: min(v.Until, now+sendTime),
+			}})
+		}
+	}
+}
+
+// settle drops the orders that are carried out, and counts those under way.
+func (s *State) settle(now clock.Millis, targets []*roster.Target) int {
+	loading := 0
 	for _, t := range targets {
 		o := s.orders[t.Target]
 		if o == nil {
@@ -186,21 +230,74 @@
 			continue
 		}
 		if o.sending || now < o.again {
-			loading[o.model]++
+			loading++
 		}
 	}
-	for _, t := range targets {
-		m := s.Assigned[t.Target]
-		w := s.Wanted[m]
-		o := s.orders[t.Target]
-		if t.VersionOf(m) >= w || loading[m] >= loadsAtOnce || o != nil && (o.sending || now < o.again) {
+	return loading
+}
+
+// due tells whether a target should load the version wanted of its model now.
+//
+// A job takes versions that are up to the slack older than the newest. A target
+// that the next job could not use must load. Of the others half do, one after
+// another and once no item waits: so at each change half of the targets can
+// take the new job at once, and only half of the loads are made.
+func (s *State) due(now clock.Millis, t *roster.Target, m unit.Model, targets []*roster.Target, must bool, v View) bool {
+	wanted := s.Wanted[m]
+	has := t.VersionOf(m)
+	if has >= wanted {
+		return false
+	}
+	demand := s.demand(m, v)
+	s.learn(now, m, demand)
+	if has+s.slackOf(m) < wanted || has < demand.MinWaiting {
+		return must
+	}
+	if must || now < s.namedAt[m]+jobLag {
+		return false
+	}
+	newest, all := 0, 0
+	for _, o := range targets {
+		if s.Assigned[o.Target] != m {
+			continue
+		}
+		all++
+		if u := s.orders[o.Target]; o.VersionOf(m) >= wanted || u != nil && u.version >= wanted {
+			newest++
+		}
+	}
+	if newest >= (all+1)/2 {
+		return false
+	}
+	return demand.Waiting == 0 || now >= s.namedAt[m]+deferMost
+}
+
+// demand adds up what the jobs of a model wait for.
+func (s *State) demand(m unit.Model, v View) op.Demand {
+	sum := op.Demand{Model: m}
+	for _, d := range v.Demands {
+		if d.Model != m {
 			continue
 		}
-		s.orders[t.Target] = &order{model: m, version: w, sending: true}
-		loading[m]++
-		out.Add(op.OrderVersion{Order: platform.VersionOrder{
-			Target: t.Target, Address: t.Address, Model: m, Version: w,
-			Holder: v.Self, Fence: v.Fence, SendBefore: min(v.Until, now+sendTime),
-		}})
+		sum.Waiting += d.Waiting
+		sum.MinWaiting = max(sum.MinWaiting, d.MinWaiting)
+		sum.Newest = max(sum.Newest, d.Newest)
+	}
+	return sum
+}
+
+// learn notes whether the jobs of a model take the newest version only. It
+// looks once the job that comes with a version is surely known.
+func (s *State) learn(now clock.Millis, m unit.Model, d op.Demand) {
+	if d.Newest > 1 && now >= s.namedAt[m]+2*jobLag {
+		s.strict[m] = d.Newest >= s.Wanted[m]
+	}
+}
+
+// slackOf returns how many versions older than the newest the next job takes.
+func (s *State) slackOf(m unit.Model) unit.Version {
+	if s.strict[m] {
+		return 0
 	}
+	return 1
 }
