--- /dev/null
+++ b/internal/forward/forward_test.go
@@ -0,0 +1,174 @@
+package forward
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/catkinhead/catkinhead/internal/op"
+	"github.com/catkinhead/catkinhead/internal/roster"
+	"github.com/catkinhead/catkinhead/internal/route"
+	"github.com/catkinhead/catkinhead/internal/tally"
+	"github.com/catkinhead/catkinhead/pkg/platform"
+	"github.com/catkinhead/catkinhead/pkg/unit"
+)
+
+func view(targets ...unit.Target) View {
+	table := route.New(platform.Configuration{
+		Keyed: true, Keys: map[string]unit.Workspace{"k": "w"},
+		Routes: []platform.RouteRule{
+			{Name: "safe", Host: "h", PathPrefix: "/safe/", Repeat: platform.Idempotent, Timeout: 1000, MaxAttempts: 2, Split: []platform.Share{{Pool: "p", Weight: 1}}},
+			{Name: "once", Host: "h", PathPrefix: "/once/", Timeout: 1000, MaxAttempts: 3, Split: []platform.Share{{Pool: "p", Weight: 1}}},
+			{Name: "open", Host: "h", PathPrefix: "/open/", Repeat: platform.Idempotent, Public: true, MaxAttempts: 1, Split: []platform.Share{{Pool: "p", Weight: 1}}},
+			{Name: "jobs", Host: "h", PathPrefix: "/jobs/", Repeat: platform.Batch, Split: []platform.Share{{Pool: "p", Weight: 1}}},
+		},
+	}, 1)
+	r := &roster.State{}
+	for _, id := range targets {
+		r.Changed(0, platform.TargetEntry{Target: id, Pool: "p", Address: string(id), Slots: 1})
+	}
+	return View{Roster: r, Table: table, Fresh: true, Tally: &tally.State{Self: "a", Length: 5000}}
+}
+
+func ask(s *State, v View, path, key string) op.Effect {
+	var out op.List
+	s.Reduce(0, op.Asked{Call: 1, Host: "h:80", Path: path, Head: platform.Head{Key: key, Left: 800}}, v, &out)
+	if len(out) != 1 {
+		return nil
+	}
+	return out[0]
+}
+
+func TestRefusals(t *testing.T) {
+	tests := map[string]struct {
+		path, key string
+		change    func(*View)
+		want      int
+	}{
+		"no route":          {"/none/x", "k", nil, http.StatusNotFound},
+		"unknown key":       {"/safe/x", "z", nil, http.StatusUnauthorized},
+		"no key":            {"/safe/x", "", nil, http.StatusUnauthorized},
+		"no configuration":  {"/none/x", "z", func(v *View) { v.Table = nil }, http.StatusServiceUnavailable},
+		"old configuration": {"/safe/x", "k", func(v *View) { v.Fresh = false }, http.StatusServiceUnavailable},
+		"no target":         {"/safe/x", "k", func(v *View) { v.Roster = &roster.State{} }, http.StatusServiceUnavailable},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			v := view("a")
+			if tt.change != nil {
+				tt.change(&v)
+			}
+			r, ok := ask(&State{}, v, tt.path, tt.key).(op.Respond)
+			if !ok || r.Status != tt.want || r.Outcome != unit.NotRun {
+				t.Errorf("got %+v", r)
+			}
+			if (r.Status == http.StatusServiceUnavailable) != (r.RetryAfter > 0) {
+				t.Errorf("status %d with the hint %d", r.Status, r.RetryAfter)
+			}
+		})
+	}
+}
+
+func TestPublicRoutesNeedNoKey(t *testing.T) {
+	if e, ok := ask(&State{}, view("a"), "/open/x", "").(op.PassOn); !ok || e.Workspace != "" {
+		t.Errorf("got %+v", e)
+	}
+}
+
+func TestJobsAreTaken(t *testing.T) {
+	if e, ok := ask(&State{}, view("a"), "/jobs/x", "k").(op.TakeJob); !ok || e.Workspace != "w" {
+		t.Errorf("got %+v", e)
+	}
+}
+
+func TestAttempts(t *testing.T) {
+	type end struct {
+		outcome unit.Outcome
+		whole   bool
+	}
+	unknown, notRun := end{outcome: unit.Unknown}, end{outcome: unit.NotRun}
+	tests := map[string]struct {
+		path string
+		ends []end
+		// want is the status of the last answer; 0 is none of our own.
+		want    int
+		outcome unit.Outcome
+	}{
+		"first serves":            {"/safe/x", []end{{unit.Ran, true}}, 0, 0},
+		"second serves":           {"/safe/x", []end{unknown, {unit.Ran, true}}, 0, 0},
+		"both fail":               {"/safe/x", []end{unknown, unknown}, http.StatusBadGateway, unit.Unknown},
+		"all refuse":              {"/safe/x", []end{notRun, notRun, notRun}, http.StatusServiceUnavailable, unit.NotRun},
+		"once: unknown":           {"/once/x", []end{unknown}, http.StatusBadGateway, unit.Unknown},
+		"once: refused, serves":   {"/once/x", []end{notRun, {unit.Ran, true}}, 0, 0},
+		"once: refused, unknown":  {"/once/x", []end{notRun, unknown}, http.StatusBadGateway, unit.Unknown},
+		"refused after a failure": {"/safe/x", []end{unknown, notRun, notRun}, http.StatusBadGateway, unit.Unknown},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, v := &State{}, view("a", "b", "c", "d")
+			e := ask(s, v, tt.path, "k")
+			for i, end := range tt.ends {
+				p, ok := e.(op.PassOn)
+				if !ok {
+					t.Fatalf("attempt %d: got %+v", i, e)
+				}
+				var out op.List
+				s.Reduce(1, op.Passed{Call: 1, Target: p.Target, Outcome: end.outcome, Whole: end.whole}, v, &out)
+				e = nil
+				if len(out) > 0 {
+					e = out[0]
+				}
+			}
+			r, _ := e.(op.Respond)
+			if r.Status != tt.want || r.Outcome != tt.outcome {
+				t.Errorf("got %+v, want %d", e, tt.want)
+			}
+			if !s.Idle() {
+				t.Error("the request is still under way")
+			}
+		})
+	}
+}
+
+func TestDeadline(t *testing.T) {
+	s, v := &State{}, view("a", "b")
+	e := ask(s, v, "/safe/x", "k").(op.PassOn)
+	if e.Deadline != 800 || e.Until >= e.Deadline {
+		t.Errorf("got %+v", e)
+	}
+	var out op.List
+	s.Reduce(799, op.Passed{Call: 1, Target: e.Target, Outcome: unit.Unknown}, v, &out)
+	if r := out[0].(op.Respond); r.Status != http.StatusGatewayTimeout {
+		t.Errorf("got %+v", r)
+	}
+}
+
+func TestLeftFreesTheTarget(t *testing.T) {
+	s, v := &State{}, view("a")
+	ask(s, v, "/safe/x", "k")
+	var out op.List
+	s.Reduce(1, op.Left{Call: 1}, v, &out)
+	if v.Roster.Targets["a"].Running != 0 || !s.Idle() {
+		t.Error("the target is still taken")
+	}
+}
+
+func TestSplitByWeight(t *testing.T) {
+	s := &State{}
+	rule := platform.RouteRule{Split: []platform.Share{{Pool: "p", Weight: 90}, {Pool: "q", Weight: 10}}}
+	n := map[unit.Pool]int{}
+	for range 1000 {
+		n[s.share(rule)]++
+	}
+	if n["p"] != 900 || n["q"] != 100 {
+		t.Errorf("got %v", n)
+	}
+}
+
+func BenchmarkRequest(b *testing.B) {
+	s, v := &State{}, view("a", "b", "c")
+	for b.Loop() {
+		e := ask(s, v, "/safe/x", "k").(op.PassOn)
+		var out op.List
+		s.Reduce(1, op.Passed{Call: 1, Target: e.Target, Outcome: unit.Ran, Whole: true}, v, &out)
+	}
+}
