batch, edge, tally: hand unfinished texts over, and report the windows of predecessors

Change: a leaving owner ends its runs, writes what they have into the chain and lets the job go; events that took more than a second are written beside results in any case; whoever takes over resumes from there. Parts join only within one line of resumed runs. Counts of sources that have ended are passed on, and a new holder reports all windows that are kept. A takeover's epoch is above all in the chain, and jobs that have ended stay in the store.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -17,6 +17,9 @@
 	// calls to the store stay few. Whole groups that complete what the trainer
 	// waits for do not wait.
 	appendEvery clock.Millis = 300
+	// saveEvery is the least time between two writes that keep nothing but
+	// events of unfinished items.
+	saveEvery clock.Millis = clock.Second
 	// retryAppend is the pause after a chunk that may not have been written.
 	retryAppend clock.Millis = 250
 	// refusedFor is how long a target that took no item of a model is passed
@@ -77,6 +80,13 @@
 	AppendAt, RetryAt clock.Millis
 	// DueAt is when all results are due, GiveUpAt when items may be given up.
 	DueAt, GiveUpAt clock.Millis
+	// SaveWanted is set while events of unfinished items are worth a write,
+	// SaveAt is when they may be written.
+	SaveWanted bool
+	SaveAt     clock.Millis
+	// Leaving is set once the instance lets the job go: its runs end, what they
+	// have is written, and another instance goes on.
+	Leaving bool
 	// Ending is set from the request for the end, Ended once that is stored.
 	Ending, Ended bool
 	EndCalls      []op.CallID
@@ -118,6 +128,10 @@
 		s.taken(now, e, v, out)
 	case op.JobDropped:
 		s.dropped(e.Job, v, out)
+	case op.JobProgress:
+		if j := s.Jobs[e.Job]; j != nil {
+			j.SaveWanted = true
+		}
 	case op.ItemEnded:
 		s.itemEnded(now, e, v)
 	case op.Appended:
@@ -139,17 +153,51 @@
 	for _, j := range jobs {
 		s.giveUp(now, j, v, out)
 	}
-	if !v.Draining {
+	if v.Draining {
+		for _, j := range jobs {
+			s.leave(j, out)
+		}
+	} else {
 		for _, j := range jobs {
 			s.start(now, j, v, out)
 			s.move(now, j, v, out)
 		}
 	}
 	for _, j := range jobs {
-		s.append(now, j, out)
+		s.append(now, j, v, out)
+	}
+}
+
+// leave ends the runs of a job so that another instance can go on from what
+// they have.
+func (s *State) leave(j *Job, out *op.List) {
+	if j.Ending {
+		return
+	}
+	if !j.Leaving {
+		j.Leaving, j.SaveWanted = true, true
+	}
+	for i := range j.Items {
+		it := &j.Items[i]
+		if it.Phase == running && !it.Moving {
+			it.Moving = true
+			out.Add(op.MoveItem{Job: j.ID, Item: i, Run: it.Run})
+		}
 	}
 }
 
+// release lets a job go once everything is written.
+func (s *State) release(j *Job, v View, out *op.List) {
+	epoch := j.Epoch
+	s.dropped(j.ID, v, out)
+	out.Add(op.ForgetJob{Job: j.ID, Epoch: epoch})
+}
+
+// stopping tells whether a leaving job still has runs that are to end.
+func (j *Job) stopping() bool {
+	return j.Leaving && slices.ContainsFunc(j.Items, func(it Item) bool { return it.Phase == running })
+}
+
 func (s *State) byDue() []*Job {
 	jobs := make([]*Job, 0, len(s.Jobs))
 	for _, id := range slices.Sorted(maps.Keys(s.Jobs)) {
@@ -201,8 +249,12 @@
 		}
 	}
 	s.Jobs[e.Shape.ID] = j
+	var quiet op.List
 	for _, c := range e.Chunks {
-		s.adopt(j, c, v, out)
+		s.adopt(j, c, v, &quiet)
+	}
+	for i, last := range e.Saved {
+		j.Items[i].Last = last
 	}
 	j.Claimed = j.Claimed || j.Ended
 }
@@ -318,7 +370,7 @@
 
 // start sends waiting items to targets with free slots.
 func (s *State) start(now clock.Millis, j *Job, v View, out *op.List) {
-	if j.Ending || v.Table == nil {
+	if j.Ending || j.Leaving || v.Table == nil {
 		return
 	}
 	rule, ok := v.Table.Route(j.Route)
@@ -404,8 +456,8 @@
 }
 
 // append writes the next chunk if there is something to list.
-func (s *State) append(now clock.Millis, j *Job, out *op.List) {
-	if j.Writing || j.Ended || now < j.RetryAt {
+func (s *State) append(now clock.Millis, j *Job, v View, out *op.List) {
+	if j.Writing || j.Ended || now < j.RetryAt || j.stopping() {
 		return
 	}
 	e := op.AppendChunk{Job: j.ID, Chunk: j.Chunks, Ended: j.Ending, Epoch: j.Epoch}
@@ -423,14 +475,19 @@
 		}
 	}
 	ready := len(e.Done) + len(e.GivenUp)
-	if ready == 0 && !j.Ending {
+	save := j.SaveWanted && (j.Leaving || now >= j.SaveAt)
+	if ready == 0 && !j.Ending && !save {
+		if j.Leaving {
+			s.release(j, v, out)
+		}
 		return
 	}
-	if now < j.AppendAt && !j.Ending && !j.completes(ready) {
+	if now < j.AppendAt && !j.Ending && !j.Leaving && !j.completes(ready) {
 		return
 	}
-	j.Writing = true
-	j.AppendAt = now + appendEvery
+	e.Save = j.Leaving
+	j.Writing, j.SaveWanted = true, false
+	j.AppendAt, j.SaveAt = now+appendEvery, now+saveEvery
 	out.Add(e)
 }
 
@@ -478,6 +535,7 @@
 		s.settleClaim(j, e, v, out)
 	default:
 		j.RetryAt = now + retryAppend
+		j.SaveWanted = j.SaveWanted || j.Leaving
 	}
 }
 
--- a/internal/beat/beat.go
+++ b/internal/beat/beat.go
@@ -115,6 +115,16 @@
 	k.closed = k.closed || closed
 }
 
+// Released notes that this instance has let a job go.
+func (s *State) Released(id string) {
+	if k := s.jobs[id]; k != nil && k.owner == s.Self {
+		k.owner = ""
+	}
+}
+
+// Closed notes that a job needs no owner.
+func (s *State) Closed(id string) { s.Note(id, "", 0, true) }
+
 // Seen remembers a job that stands in the store.
 func (s *State) Seen(id string) {
 	if s.jobs[id] == nil {
@@ -191,14 +201,14 @@
 		if k.closed || k.owner == s.Self || now < k.takeAt {
 			continue
 		}
-		if k.owner != "" && s.Live(now, k.owner) && !s.Peers[k.owner].Leaving {
+		if k.owner != "" && s.Live(now, k.owner) {
 			continue
 		}
 		if !s.First(now, id) {
 			continue
 		}
 		k.takeAt = now + retryTake
-		out.Add(op.TakeOver{Job: id, Epoch: k.epoch + 1, From: k.owner})
+		out.Add(op.TakeOver{Job: id, Epoch: k.epoch, From: k.owner})
 	}
 }
 
--- a/internal/edge/content.go
+++ b/internal/edge/content.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strings"
 	"sync"
 
@@ -33,6 +34,8 @@
 	chunks  int
 	ended   bool
 	texts   []text
+	// listed marks the items that have a result.
+	listed []bool
 	// changed is closed and replaced whenever results or ended change.
 	changed chan struct{}
 }
@@ -44,6 +47,11 @@
 	events   []string
 	versions []unit.Version
 	last     int64
+	// saved counts the events that stand in the store.
+	saved int
+	// line names the run that made the first event: parts of a text are joined
+	// only if they belong to the same line of runs, each resumed from the last.
+	line string
 }
 
 // jobRecord is a job as it stands in the store.
@@ -63,15 +71,31 @@
 	Owner   unit.Instance
 	Epoch   unit.Epoch
 	Results []platform.Result `json:",omitempty"`
-	Ended   bool              `json:",omitempty"`
+	// Parts are events of items that are not done, for whoever goes on.
+	Parts []partRecord `json:",omitempty"`
+	Ended bool         `json:",omitempty"`
 }
 
+// partRecord is a part of an item's text: the events after the first ones.
+type partRecord struct {
+	ID       string
+	Line     string
+	From     int
+	Events   []string
+	Last     int64
+	Versions []unit.Version
+}
+
+// saveEvents is from how many events on, which only this instance has, a write
+// pays: they take more than a second to make again.
+const saveEvents = 30
+
 func newContent() *Content { return &Content{jobs: make(map[string]*jobContent)} }
 
 func newJobContent(record jobRecord, job platform.Job) *jobContent {
 	c := &jobContent{
 		record: record, job: job, index: make(map[string]int, len(job.Items)),
-		texts: make([]text, len(job.Items)), changed: make(chan struct{}),
+		texts: make([]text, len(job.Items)), listed: make([]bool, len(job.Items)), changed: make(chan struct{}),
 	}
 	for i, it := range job.Items {
 		c.index[it.ID] = i
@@ -102,6 +126,20 @@
 	}
 }
 
+// unsaved returns the jobs with events that are worth a write.
+func (c *Content) unsaved() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []string
+	for id, j := range c.jobs {
+		if !j.ended && j.hasParts(saveEvents) {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // with runs f on a job's content; it returns false if there is none.
 func (c *Content) with(id string, f func(*jobContent)) bool {
 	c.mu.Lock()
@@ -130,6 +168,9 @@
 		}
 	}
 	j.ended = j.ended || chunk.Ended
+	for _, part := range chunk.Parts {
+		j.addPart(part)
+	}
 	if j.ended {
 		for i := range j.texts {
 			j.texts[i].events = nil
@@ -140,6 +181,71 @@
 	return shape, true
 }
 
+// addPart takes a part of a text that stands in the store. A text that this
+// instance has runs of goes before it.
+func (j *jobContent) addPart(part partRecord) {
+	i, ok := j.index[part.ID]
+	if !ok || j.listed[i] || j.texts[i].run != 0 {
+		return
+	}
+	t := &j.texts[i]
+	if part.From == 0 {
+		*t = text{line: part.Line}
+	}
+	if part.From != len(t.events) || part.Line != t.line {
+		return
+	}
+	t.events = append(t.events, part.Events...)
+	t.versions, t.last, t.saved = part.Versions, part.Last, len(t.events)
+}
+
+// parts returns the events that only this instance has, of each item with at
+// least so many.
+func (j *jobContent) parts(least int) []partRecord {
+	var out []partRecord
+	for i := range j.texts {
+		t := &j.texts[i]
+		if j.listed[i] || len(t.events)-t.saved < least {
+			continue
+		}
+		out = append(out, partRecord{
+			ID: j.job.Items[i].ID, Line: t.line, From: t.saved, Events: t.events[t.saved:], Last: t.last, Versions: slices.Clone(t.versions),
+		})
+	}
+	return out
+}
+
+// hasParts tells whether an item has at least so many events that only this
+// instance has.
+func (j *jobContent) hasParts(least int) bool {
+	for i := range j.texts {
+		if !j.listed[i] && len(j.texts[i].events)-j.texts[i].saved >= least {
+			return true
+		}
+	}
+	return false
+}
+
+// markSaved marks the parts of a chunk that was written.
+func (j *jobContent) markSaved(parts []partRecord) {
+	for _, part := range parts {
+		if i, ok := j.index[part.ID]; ok && j.texts[i].saved == part.From && len(j.texts[i].events) >= part.From+len(part.Events) {
+			j.texts[i].saved = part.From + len(part.Events)
+		}
+	}
+}
+
+// kept returns the last kept event of each item that is not listed.
+func (j *jobContent) kept() map[int]int64 {
+	out := make(map[int]int64)
+	for i := range j.texts {
+		if !j.listed[i] && j.texts[i].last >= 0 {
+			out[i] = j.texts[i].last
+		}
+	}
+	return out
+}
+
 // chunk makes the record of a chunk from the texts at hand.
 func (j *jobContent) chunk(e op.AppendChunk) chunkRecord {
 	c := chunkRecord{Ended: e.Ended, Epoch: e.Epoch}
@@ -149,9 +255,20 @@
 			ID: j.job.Items[i].ID, Text: strings.Join(t.events, "\n"), Versions: t.versions,
 		})
 	}
+	done := make(map[string]bool, len(e.Done))
 	for _, i := range e.GivenUp {
 		c.Results = append(c.Results, platform.Result{ID: j.job.Items[i].ID, GivenUp: true})
 	}
+	for _, r := range c.Results {
+		done[r.ID] = true
+	}
+	least := saveEvents
+	if e.Save {
+		least = 1
+	}
+	if !e.Ended {
+		c.Parts = slices.DeleteFunc(j.parts(least), func(part partRecord) bool { return done[part.ID] })
+	}
 	return c
 }
 
--- a/internal/edge/items.go
+++ b/internal/edge/items.go
@@ -132,7 +132,7 @@
 	if end == op.ItemBroken && errors.Is(err, errMixedVersions) {
 		p.content.with(e.Job, func(c *jobContent) {
 			if c.texts[e.Item].run == e.Run {
-				c.texts[e.Item] = text{last: -1}
+				c.texts[e.Item] = text{last: -1, run: e.Run}
 			}
 		})
 		r.last = -1
@@ -257,6 +257,9 @@
 			err = errMixedVersions
 			return
 		}
+		if len(t.events) == 0 {
+			t.line = fmt.Sprintf("%s/%d", r.p.state.Self, r.e.Run)
+		}
 		t.events = append(t.events, string(ev.Data))
 		t.last = ev.ID
 		if !slices.Contains(t.versions, r.version) {
--- a/internal/edge/jobs.go
+++ b/internal/edge/jobs.go
@@ -34,6 +34,10 @@
 	endWithin = 3 * clock.Second
 	// acceptPause is the pause between tries of a submission.
 	acceptPause = 150 * time.Millisecond
+	// recentJob is up to which age a job is worked on after a start of the whole
+	// fleet although nobody asked for it. Others are taken up when they are
+	// read.
+	recentJob = 30 * clock.Second
 	// retryJob hints when to submit a job again that was not taken.
 	retryJob clock.Millis = 400
 )
@@ -164,16 +168,26 @@
 		p.log.WithFields(logrus.Fields{"Job": e.Job, "From": e.From, "Error": err.Error()}).Warn("job not taken over")
 		return
 	}
+	if c.ended || len(c.results) == len(c.job.Items) {
+		p.apply(op.JobSettled{Job: e.Job})
+		return
+	}
 	c.epoch = e.Epoch
+	for _, chunk := range chunks {
+		c.epoch = max(c.epoch, chunk.Epoch)
+	}
+	// The instance that took the job in has the first epoch.
+	c.epoch = max(c.epoch, 1) + 1
 	if !p.content.put(e.Job, c) {
 		return
 	}
 	shape := c.shape()
 	shape.Age = p.clock.Wall() - clock.Millis(c.record.SubmittedAt)
 	p.log.WithFields(logrus.Fields{
-		"Job": e.Job, "From": e.From, "Epoch": e.Epoch, "Listed": len(c.results), "Items": len(shape.Items), "Ended": c.ended,
+		"Job": e.Job, "From": e.From, "Epoch": c.epoch, "Listed": len(c.results), "Items": len(shape.Items),
+		"Kept": len(c.kept()), "AgeMillis": shape.Age,
 	}).Info("job taken over")
-	p.apply(op.JobTaken{Shape: shape, Epoch: e.Epoch, Chunks: chunks})
+	p.apply(op.JobTaken{Shape: shape, Epoch: c.epoch, Chunks: chunks, Saved: c.kept()})
 }
 
 // listJobs finds the jobs that no instance may know of.
@@ -185,11 +199,18 @@
 		return
 	}
 	found := op.JobsFound{Result: op.Done}
+	now := p.clock.Wall()
 	for _, o := range objects {
-		_, id, _ := strings.Cut(o.Key, "/")
-		found.Jobs = append(found.Jobs, id)
+		var record jobRecord
+		if err := json.Unmarshal(o.Value, &record); err != nil {
+			p.log.WithFields(logrus.Fields{"Object": o.Key, "Error": err.Error()}).Error("job is not readable")
+			continue
+		}
+		if now-clock.Millis(record.SubmittedAt) < recentJob {
+			found.Jobs = append(found.Jobs, nameOf(o))
+		}
 	}
-	p.log.WithField("Jobs", len(found.Jobs)).Info("jobs listed")
+	p.log.WithFields(logrus.Fields{"Jobs": len(objects), "Recent": len(found.Jobs)}).Info("jobs listed")
 	p.apply(found)
 }
 
@@ -218,7 +239,14 @@
 		return
 	}
 	next := false
-	p.content.with(e.Job, func(c *jobContent) { end.Other, next = c.add(e.Chunk, chunk) })
+	p.content.with(e.Job, func(c *jobContent) {
+		if end.Result == op.Done {
+			// The parts are this instance's own texts.
+			c.markSaved(chunk.Parts)
+			chunk.Parts = nil
+		}
+		end.Other, next = c.add(e.Chunk, chunk)
+	})
 	if next {
 		p.apply(end)
 	}
@@ -240,6 +268,15 @@
 // with the next one, or not at all if the job has ended.
 func fit(c chunkRecord) chunkRecord {
 	size := 0
+	for i, part := range c.Parts {
+		for _, ev := range part.Events {
+			size += len(ev)
+		}
+		if size > chunkBytes/2 && i > 0 {
+			c.Parts = c.Parts[:i]
+			break
+		}
+	}
 	for i, r := range c.Results {
 		size += len(r.Text)
 		if size > chunkBytes && i > 0 {
@@ -407,7 +444,7 @@
 		return batchAnswer{status: http.StatusOK}
 	}
 	var epoch unit.Epoch
-	p.ask(func(_ clock.Millis, s *State) { epoch = s.Beats.Epoch(call.Job) + 1 })
+	p.ask(func(_ clock.Millis, s *State) { epoch = s.Beats.Epoch(call.Job) })
 	p.takeOver(ctx, op.TakeOver{Job: call.Job, Epoch: epoch})
 	return p.endLocal(ctx, call.Job)
 }
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -116,6 +116,9 @@
 			if e := p.paces.take(); len(e.Millis) > 0 {
 				p.apply(e)
 			}
+			for _, job := range p.content.unsaved() {
+				p.apply(op.JobProgress{Job: job})
+			}
 		}
 		select {
 		case <-t.C:
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -113,8 +113,13 @@
 		s.Batch.Reduce(now, ev, s.batchView(), &out)
 		s.noteJobs()
 		s.sendBeats(now, &out)
-	case op.JobDropped, op.ItemEnded, op.Appended, op.EndAsked:
+	case op.JobDropped, op.JobProgress, op.ItemEnded, op.Appended, op.EndAsked:
+		owned := len(s.Batch.Jobs)
 		s.Batch.Reduce(now, ev, s.batchView(), &out)
+		if len(s.Batch.Jobs) < owned {
+			// The peers may take a job that was let go.
+			s.sendBeats(now, &out)
+		}
 	case op.LeaseRead, op.LeaseWritten:
 		s.Leases.Reduce(now, ev, &out)
 	case op.CountsHeard, op.CountsSealed, op.CountsSent:
@@ -130,6 +135,8 @@
 			}})
 		}
 		s.Batch.Advance(now, s.batchView(), &out)
+	case op.JobSettled:
+		s.Beats.Closed(e.Job)
 	case op.JobSeen:
 		s.Beats.Seen(e.Job)
 	case op.JobsFound:
@@ -279,10 +286,19 @@
 	}
 	s.sumRunning(now)
 	if len(b.Counts) > 0 {
-		s.Tally.Reduce(now, op.CountsHeard{Source: b.Incarnation, Counts: b.Counts}, s.tallyView(now), out)
+		s.Tally.Reduce(now, op.CountsHeard{Counts: b.Counts}, s.tallyView(now), out)
 	}
 }
 
+// liveSources are the incarnations that tell their counts themselves.
+func (s *State) liveSources(now clock.Millis) map[unit.Incarnation]bool {
+	live := make(map[unit.Incarnation]bool)
+	for _, p := range s.Beats.LivePeers(now) {
+		live[p.Incarnation] = true
+	}
+	return live
+}
+
 // sumRunning adds up what the live peers have at each target.
 func (s *State) sumRunning(now clock.Millis) {
 	sum := make(map[unit.Target]int)
@@ -319,7 +335,7 @@
 	b := op.Beat{
 		Instance: s.Site.Instance, Incarnation: s.Self, Seq: s.seq, Address: s.PeerAddress(),
 		DataCentre: s.Site.DataCentre, Uptime: now - s.started, Leaving: s.Draining, Holder: held,
-		Orphans: s.Beats.Orphans(), Counts: s.Tally.Own(), Running: s.Roster.Own(), Demands: s.Batch.Demands(),
+		Orphans: s.Beats.Orphans(), Counts: s.Tally.Told(s.liveSources(now)), Running: s.Roster.Own(), Demands: s.Batch.Demands(),
 	}
 	if l := s.Leases.Leases[Duties]; held && l != nil {
 		b.Lease = l.Revision
@@ -352,6 +368,8 @@
 	s.Draining = true
 	s.standForDuties(now)
 	s.Leases.Reduce(now, op.Tick{Wall: s.Wall(now)}, out)
+	s.Batch.Advance(now, s.batchView(), out)
+	s.noteJobs()
 	s.sendBeats(now, out)
 }
 
--- a/internal/op/hosted.go
+++ b/internal/op/hosted.go
@@ -111,6 +111,8 @@
 	Shape  JobShape
 	Epoch  unit.Epoch
 	Chunks []ChunkShape
+	// Saved holds the last kept event of items that are not listed.
+	Saved map[int]int64
 }
 
 // JobDropped says that another instance owns the job under a higher epoch.
@@ -157,6 +159,10 @@
 	Last   int64
 }
 
+// JobProgress says that items of a job have events which only this instance
+// has, and which are worth a write.
+type JobProgress struct{ Job string }
+
 // Appended ends AppendChunk. Other is the chunk that stands there in case of a
 // conflict.
 type Appended struct {
@@ -180,12 +186,15 @@
 	Result  Result
 }
 
-// CountsHeard brings the counts of another instance's incarnation.
-type CountsHeard struct {
+// SourceCounts are the counts of one incarnation.
+type SourceCounts struct {
 	Source unit.Incarnation
 	Counts []WindowCount
 }
 
+// CountsHeard brings counts that other instances told of.
+type CountsHeard struct{ Counts []SourceCounts }
+
 // WindowCount is the use of a workspace in a window as one source counted it.
 type WindowCount struct {
 	Window    unit.Window
@@ -289,6 +298,9 @@
 	Done, GivenUp []int
 	Ended         bool
 	Epoch         unit.Epoch
+	// Save is set if the events of items that are not done are to be kept too,
+	// however few they are.
+	Save bool
 }
 
 // JobListed says that more results stand at their positions.
@@ -333,6 +345,7 @@
 func (VersionSeen) event()   {}
 func (JobTaken) event()      {}
 func (JobDropped) event()    {}
+func (JobProgress) event()   {}
 func (ItemEnded) event()     {}
 func (Appended) event()      {}
 func (EndAsked) event()      {}
@@ -369,9 +382,10 @@
 	Leaving    bool
 	// Holder is set while the instance holds the lease of the duties.
 	Holder  bool
-	Jobs    []JobNote     `json:",omitempty"`
-	Orphans []string      `json:",omitempty"`
-	Counts  []WindowCount `json:",omitempty"`
+	Jobs    []JobNote `json:",omitempty"`
+	Orphans []string  `json:",omitempty"`
+	// Counts are the instance's own and those of sources that have ended.
+	Counts []SourceCounts `json:",omitempty"`
 	// Lease is the revision of the lease that the holder renewed last.
 	Lease unit.Revision `json:",omitempty"`
 	// Demands are what the instance's jobs wait for.
@@ -410,6 +424,9 @@
 	Jobs   []string
 }
 
+// JobSettled says that a job in the store has ended, or lists all results.
+type JobSettled struct{ Job string }
+
 // JobSeen says that a job stands in the store; it may have no owner.
 type JobSeen struct{ Job string }
 
@@ -419,7 +436,8 @@
 	Addresses []string
 }
 
-// TakeOver reads a job from the store to become its owner.
+// TakeOver reads a job from the store to become its owner, under a higher epoch
+// than the one that is known here and those in the job's chain.
 type TakeOver struct {
 	Job   string
 	Epoch unit.Epoch
@@ -433,6 +451,7 @@
 func (PeersListed) event() {}
 func (JobsFound) event()   {}
 func (JobSeen) event()     {}
+func (JobSettled) event()  {}
 func (Paces) event()       {}
 
 func (SendBeats) effect() {}
--- a/internal/tally/tally.go
+++ b/internal/tally/tally.go
@@ -15,6 +15,9 @@
 	// settle is the time after a window's end in which the counts of the other
 	// instances arrive.
 	settle clock.Millis = 2 * clock.Second
+	// hearFirst is how long after its start an instance only listens, so that it
+	// has heard what the others counted.
+	hearFirst clock.Millis = 1200
 	// retryAfter is the pause after a call that failed.
 	retryAfter clock.Millis = 500
 	// keepWindows is how many windows are kept, so that late reports of an
@@ -32,8 +35,9 @@
 	// Counts are by source, so that hearing a count again adds nothing.
 	Counts  map[unit.Incarnation]map[key]int64
 	windows map[unit.Window]*window
-	// first is the window in which this instance started.
-	first unit.Window
+	// started is when this instance began to hear the others.
+	started clock.Millis
+	begun   bool
 }
 
 type key struct {
@@ -82,10 +86,21 @@
 	return m
 }
 
-// Own returns this instance's counts of the windows that are kept.
-func (s *State) Own() []op.WindowCount {
+// Told returns this instance's counts of the windows that are kept, and those
+// of sources that no longer tell them themselves.
+func (s *State) Told(live map[unit.Incarnation]bool) []op.SourceCounts {
+	var out []op.SourceCounts
+	for _, source := range slices.Sorted(maps.Keys(s.Counts)) {
+		if source == s.Self || !live[source] {
+			out = append(out, op.SourceCounts{Source: source, Counts: s.of(source)})
+		}
+	}
+	return out
+}
+
+func (s *State) of(source unit.Incarnation) []op.WindowCount {
 	var out []op.WindowCount
-	for k, n := range s.Counts[s.Self] {
+	for k, n := range s.Counts[source] {
 		out = append(out, op.WindowCount{Window: k.window, Workspace: k.workspace, Count: n})
 	}
 	slices.SortFunc(out, func(a, b op.WindowCount) int {
@@ -98,11 +113,7 @@
 func (s *State) Reduce(now clock.Millis, ev op.Event, v View, out *op.List) {
 	switch e := ev.(type) {
 	case op.CountsHeard:
-		m := s.source(e.Source)
-		for _, c := range e.Counts {
-			k := key{c.Window, c.Workspace}
-			m[k] = max(m[k], c.Count)
-		}
+		s.heard(e)
 	case op.CountsSealed:
 		s.sealed(now, e)
 	case op.CountsSent:
@@ -111,6 +122,20 @@
 	s.Advance(now, v, out)
 }
 
+// heard takes counts of other sources; each count only ever rises.
+func (s *State) heard(e op.CountsHeard) {
+	for _, source := range e.Counts {
+		if source.Source == s.Self || len(source.Counts) == 0 {
+			continue
+		}
+		m := s.source(source.Source)
+		for _, c := range source.Counts {
+			k := key{c.Window, c.Workspace}
+			m[k] = max(m[k], c.Count)
+		}
+	}
+}
+
 func (s *State) sealed(now clock.Millis, e op.CountsSealed) {
 	w := s.windows[e.Window]
 	if w == nil {
@@ -143,18 +168,17 @@
 		return
 	}
 	current := unit.Window(v.Wall / s.Length)
-	if s.first == 0 {
-		s.first = current
+	if !s.begun {
+		s.begun, s.started = true, now
 	}
 	s.trim(current)
-	if v.Fence == 0 {
+	if v.Fence == 0 || now < s.started+hearFirst {
 		return
 	}
 	if s.windows == nil {
 		s.windows = make(map[unit.Window]*window)
 	}
-	oldest := max(current-keepWindows+1, s.first)
-	for n := oldest; n < current; n++ {
+	for n := current - keepWindows + 1; n < current; n++ {
 		if v.Wall < clock.Millis(n+1)*s.Length+settle {
 			break
 		}
--- a/internal/tally/tally_test.go
+++ b/internal/tally/tally_test.go
@@ -58,6 +58,38 @@
 	}
 }
 
+// heardFrom is the count of window 100 that a source told.
+func heardFrom(source unit.Incarnation, n int64) op.CountsHeard {
+	return op.CountsHeard{Counts: []op.SourceCounts{{
+		Source: source, Counts: []op.WindowCount{{Window: 100, Workspace: "w", Count: n}},
+	}}}
+}
+
+func TestAHolderThatStartedLaterReportsEarlierWindows(t *testing.T) {
+	h := newHolder("a#2", map[unit.Window]map[unit.Workspace]int64{})
+	h.now = 101*length + 700
+	h.advance(h.now+100, false)
+	var out op.List
+	h.state.Reduce(h.now, heardFrom("b#1", 4), h.view(), &out)
+	h.state.Reduce(h.now, heardFrom("a#1", 3), h.view(), &out)
+	h.advance(101*length+settle+1000, false)
+	if got := h.sent[100]; len(got) != 1 || got[0]["w"] != 7 {
+		t.Errorf("sent %v, want 7 once", got)
+	}
+}
+
+func TestCountsOfEndedSourcesArePassedOn(t *testing.T) {
+	s := State{Self: "a#1", Length: length}
+	s.Began(100*length, "w")
+	var out op.List
+	s.Reduce(0, heardFrom("b#1", 4), View{}, &out)
+	s.Reduce(0, heardFrom("c#1", 5), View{}, &out)
+	told := s.Told(map[unit.Incarnation]bool{"c#1": true})
+	if len(told) != 2 || told[0].Source != "a#1" || told[1].Source != "b#1" || told[1].Counts[0].Count != 4 {
+		t.Errorf("told %+v", told)
+	}
+}
+
 func TestWindowsAreReportedInTime(t *testing.T) {
 	h := newHolder("a#1", map[unit.Window]map[unit.Workspace]int64{})
 	h.now = 100 * length
@@ -66,8 +98,8 @@
 	h.state.Began(100*length+4900, "w")
 	h.state.Began(101*length, "w")
 	var out op.List
-	h.state.Reduce(h.now, op.CountsHeard{Source: "b#1", Counts: []op.WindowCount{{Window: 100, Workspace: "w", Count: 4}}}, h.view(), &out)
-	h.state.Reduce(h.now, op.CountsHeard{Source: "b#1", Counts: []op.WindowCount{{Window: 100, Workspace: "w", Count: 3}}}, h.view(), &out)
+	h.state.Reduce(h.now, heardFrom("b#1", 4), h.view(), &out)
+	h.state.Reduce(h.now, heardFrom("b#1", 3), h.view(), &out)
 	h.advance(101*length+settle+1000, false)
 	if got := h.sent[100]; len(got) != 1 || got[0]["w"] != 6 {
 		t.Errorf("sent %v, want 6 once", got)
