edge: let one instance take a job in, and no broken call look like a success

Beside it, a relayed call that broke off came back as an empty success. Change: the record names its write, and is read back; the relay stands outside of the router, whose recovery ate the abort. Tests: red before ('created true, want false'; 'status 200 for a call without an answer').

--- a/internal/edge/content.go
+++ b/internal/edge/content.go
@@ -60,6 +60,10 @@
 	Route     unit.Route
 	Pool      unit.Pool
 	Host      string
+	// Writer and Try name the write, so that the instance that made it knows it
+	// again after its answer was lost.
+	Writer unit.Incarnation
+	Try    op.CallID
 	// SubmittedAt is the Unix time in milliseconds of the first submission.
 	SubmittedAt int64
 	// Body is the job as it was submitted.
--- a/internal/edge/jobs.go
+++ b/internal/edge/jobs.go
@@ -54,7 +54,7 @@
 	}
 	record := jobRecord{
 		Workspace: e.Workspace, Route: e.Rule.Name, Pool: e.Rule.Split[0].Pool, Host: f.r.Host,
-		SubmittedAt: int64(f.p.clock.Wall()), Body: f.body,
+		SubmittedAt: int64(f.p.clock.Wall()), Body: f.body, Writer: f.p.state.Self, Try: f.id,
 	}
 	switch created, err := f.p.storeJob(f.r.Context(), record, job); {
 	case err == nil:
@@ -102,9 +102,13 @@
 		switch {
 		case err == nil:
 			return true, nil
+		case errors.Is(err, platform.ErrConflict) && !unknown:
+			return false, nil
 		case errors.Is(err, platform.ErrConflict):
-			// A write of ours whose answer was lost makes the job ours too.
-			return unknown, nil
+			var ours bool
+			if ours, err = p.wrote(ctx, key, record); err == nil {
+				return ours, nil
+			}
 		}
 		unknown = unknown || !notRun(err)
 		if p.clock.Now() >= until || ctx.Err() != nil {
@@ -121,6 +125,20 @@
 	return false, fmt.Errorf("store job: %w", err)
 }
 
+// wrote tells whether the job that stands in the store is the one of our write,
+// whose answer was lost; else another instance took the job in.
+func (p *Process) wrote(ctx context.Context, key string, ours jobRecord) (bool, error) {
+	o, err := p.out.Store.Get(ctx, key)
+	if err != nil {
+		return false, fmt.Errorf("read back: %w", err)
+	}
+	var stands jobRecord
+	if err := json.Unmarshal(o.Value, &stands); err != nil {
+		return false, fmt.Errorf("decode job: %w", err)
+	}
+	return stands.Writer == ours.Writer && stands.Try == ours.Try, nil
+}
+
 // notRun tells whether a call certainly had no effect.
 func notRun(err error) bool {
 	var f *platform.Failure
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -206,10 +206,15 @@
 	g := gin.New()
 	g.Use(gin.Recovery())
 	g.POST("/v1/jobs/:job", p.servePeerJob)
-	if p.relay != nil {
-		g.Any(relayPath+"*path", gin.WrapH(p.relay.Handler()))
-	}
-	return g
+	if p.relay == nil {
+		return g
+	}
+	// The relay stands outside of the router, whose recovery would turn a call
+	// that is broken off into an empty success.
+	mux := http.NewServeMux()
+	mux.Handle("/", g)
+	mux.Handle(relayPath, p.relay.Handler())
+	return mux
 }
 
 func (p *Process) servePeerJob(c *gin.Context) {
--- /dev/null
+++ b/internal/edge/store_test.go
@@ -0,0 +1,173 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/catkinhead/catkinhead/pkg/clock"
+	"github.com/catkinhead/catkinhead/pkg/platform"
+	"github.com/catkinhead/catkinhead/pkg/unit"
+)
+
+// memoryStore is an object store whose calls can be made to fail.
+type memoryStore struct {
+	mu      sync.Mutex
+	objects map[string]platform.Object
+	rev     unit.Revision
+	// before is called ahead of each write; what it returns is the answer
+	// unless it is nil.
+	before func(key string) error
+}
+
+func (m *memoryStore) Get(_ context.Context, key string) (platform.Object, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	o, ok := m.objects[key]
+	if !ok {
+		return o, platform.ErrNotFound
+	}
+	return o, nil
+}
+
+func (m *memoryStore) Put(_ context.Context, key string, value []byte, ifRev unit.Revision) (unit.Revision, error) {
+	if m.before != nil {
+		if err := m.before(key); err != nil {
+			return 0, err
+		}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.objects[key].Revision != ifRev {
+		return 0, platform.ErrConflict
+	}
+	m.rev++
+	if m.objects == nil {
+		m.objects = make(map[string]platform.Object)
+	}
+	m.objects[key] = platform.Object{Key: key, Value: value, Revision: m.rev}
+	return m.rev, nil
+}
+
+func (m *memoryStore) Delete(context.Context, string, unit.Revision) error { return nil }
+
+func (m *memoryStore) List(context.Context, string) ([]platform.Object, error) { return nil, nil }
+
+func (m *memoryStore) Watch(context.Context, string, unit.Revision) (unit.Revision, error) {
+	return 0, nil
+}
+
+func (m *memoryStore) ListKind(context.Context, string) ([]platform.Object, unit.Revision, error) {
+	return nil, 0, nil
+}
+
+func (m *memoryStore) Follow(context.Context, string, unit.Revision, time.Duration) ([]platform.Change, unit.Revision, error) {
+	return nil, 0, nil
+}
+
+func testProcess(store ObjectStore) *Process {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return &Process{
+		out: Outside{Store: store}, clock: clock.System{}, log: logrus.NewEntry(log), content: newContent(),
+		state: NewState(platform.Site{Instance: "a"}, "a#1", 0),
+	}
+}
+
+var errLost = &platform.Failure{Outcome: unit.Unknown, Err: errors.New("no answer")}
+
+func TestAJobIsTakenInByOneInstance(t *testing.T) {
+	record := jobRecord{Writer: "a#1", Try: 7, Body: []byte(`{}`)}
+	job := platform.Job{ID: "j"}
+	tests := map[string]struct {
+		// first is what happens at the first write, whose answer is lost.
+		first func(*memoryStore)
+		want  bool
+	}{
+		"the lost write was done": {func(m *memoryStore) {
+			_, _ = m.Put(context.Background(), "jobs/j", []byte(`{"Writer":"a#1","Try":7}`), 0)
+		}, true},
+		"another instance was quicker": {func(m *memoryStore) {
+			_, _ = m.Put(context.Background(), "jobs/j", []byte(`{"Writer":"b#1","Try":7}`), 0)
+		}, false},
+		"the same instance, another call": {func(m *memoryStore) {
+			_, _ = m.Put(context.Background(), "jobs/j", []byte(`{"Writer":"a#1","Try":6}`), 0)
+		}, false},
+		"the lost write was not done": {func(*memoryStore) {}, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			store := &memoryStore{}
+			calls := 0
+			store.before = func(string) error {
+				calls++
+				if calls > 1 {
+					return nil
+				}
+				store.before = nil
+				tt.first(store)
+				return errLost
+			}
+			created, err := testProcess(store).storeJob(context.Background(), record, job)
+			if err != nil || created != tt.want {
+				t.Errorf("created %v, %v; want %v", created, err, tt.want)
+			}
+		})
+	}
+}
+
+func TestARelayedCallThatBreaksOffIsNoSuccess(t *testing.T) {
+	broken := roundTripper(func(*http.Request) (*http.Response, error) { return nil, errors.New("reset") })
+	relay := NewRelay(clock.System{}, "127.0.0.1:1", broken)
+	p := testProcess(&memoryStore{})
+	p.relay = relay
+	srv := httptest.NewServer(p.PeerHandler())
+	defer srv.Close()
+	res, err := http.Get(srv.URL + relayPath + "objects/jobs/j")
+	if err == nil {
+		t.Errorf("status %d for a call without an answer", res.StatusCode)
+		res.Body.Close()
+	}
+}
+
+func TestCallsGoThroughPeersAfterAFailure(t *testing.T) {
+	var hosts []string
+	fails := true
+	direct := roundTripper(func(r *http.Request) (*http.Response, error) {
+		hosts = append(hosts, r.URL.Host)
+		if fails {
+			return nil, errors.New("reset")
+		}
+		return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(strings.NewReader(r.URL.Opaque))}, nil
+	})
+	relay := NewRelay(clock.System{}, "store:1", direct)
+	relay.peers = func() []string { return []string{"peer:2"} }
+	req, err := http.NewRequest(http.MethodGet, "http://store:1/objects/a/b?x=1", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := relay.RoundTrip(req); err == nil {
+		t.Error("a failure was hidden")
+	}
+	fails = false
+	res, err := relay.RoundTrip(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	path, _ := io.ReadAll(res.Body)
+	if strings.Join(hosts, " ") != "store:1 peer:2" || string(path) != relayPath+"objects/a/b" {
+		t.Errorf("went to %v for %s", hosts, path)
+	}
+}
+
+type roundTripper func(*http.Request) (*http.Response, error)
+
+func (f roundTripper) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
