edge: let a few instances watch the store for all

Ruled out: stale reads (they may hide a leaving target for seconds). Change: two instances, or one in twelve, watch; the others ask them, and the store if a watcher is silent or knows less than 1.35 s old, so that a cut watcher hides no change for 2 s. Instances are listed at the start only; those that come later tell the others themselves. Calls are counted by kind.

--- a/internal/beat/beat.go
+++ b/internal/beat/beat.go
@@ -1,6 +1,7 @@
 package beat
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -17,6 +18,10 @@
 	// DeadAfter is the silence after which a peer is taken to be dead: four
 	// heartbeats and the way.
 	DeadAfter clock.Millis = 1200
+	// leastWatchers and perWatcher tell how many instances watch the store for
+	// the others.
+	leastWatchers = 2
+	perWatcher    = 12
 	// listAfter is how long after its start an instance waits for peers that
 	// know the jobs, before it reads them from the store.
 	listAfter clock.Millis = 700
@@ -27,6 +32,9 @@
 	oldUptime clock.Millis = 2 * clock.Second
 )
 
+// watchSubject ranks instances for watching the store.
+const watchSubject = "watch"
+
 // Peer is another instance as it was last heard.
 type Peer struct {
 	op.Beat
@@ -99,6 +107,37 @@
 	return xxhash.Sum64String(subject + "\x00" + string(id))
 }
 
+// Watcher returns the address of the instance whose watches of the store this
+// one shares; empty if it watches itself. A few instances watch: those that rank
+// first. Each of the others asks the one that ranks first for it.
+func (s *State) Watcher(now clock.Millis) string {
+	live := s.LivePeers(now)
+	most := max(leastWatchers, (len(live)+1)/perWatcher)
+	if len(live) < most {
+		return ""
+	}
+	own := rank(watchSubject, s.Self)
+	ahead := make([]*Peer, 0, len(live))
+	for _, p := range live {
+		if !p.Leaving && rank(watchSubject, p.Instance) > own {
+			ahead = append(ahead, p)
+		}
+	}
+	if len(ahead) < most {
+		return ""
+	}
+	slices.SortFunc(ahead, func(a, b *Peer) int {
+		return cmp.Compare(rank(watchSubject, b.Instance), rank(watchSubject, a.Instance))
+	})
+	best := ahead[0]
+	for _, p := range ahead[1:most] {
+		if rank(string(s.Self), p.Instance) > rank(string(s.Self), best.Instance) {
+			best = p
+		}
+	}
+	return best.Address
+}
+
 // Note remembers a job; this instance may be its owner.
 func (s *State) Note(id string, owner unit.Instance, epoch unit.Epoch, closed bool) {
 	if s.jobs == nil {
--- a/internal/edge/feeds.go
+++ b/internal/edge/feeds.go
@@ -14,17 +14,22 @@
 )
 
 const (
-	// configurationWait is how long a watch of the configuration waits: each
-	// end confirms that nothing has changed, well within the bound of
-	// withdrawn keys.
-	configurationWait = 2 * time.Second
-	// targetsWait keeps a silent connection from hiding a leaving target for
-	// longer than its drain.
-	targetsWait = 3 * time.Second
-	// versionsWait and instancesWait bound how long a silent connection may
-	// hide what is less urgent.
-	versionsWait  = 4 * time.Second
-	instancesWait = 25 * time.Second
+	// sharedWait is how long a watch of the configuration or of the targets
+	// waits. Each end confirms that nothing has changed, and others share the
+	// watch, so a silent connection must be found well within the 2 s in which
+	// a change is to be acted on.
+	sharedWait = 800 * time.Millisecond
+	// confirmWait is how long the watch after a change waits: a watch that ends
+	// early confirms only what was so when it began.
+	confirmWait = 200 * time.Millisecond
+	// mirrorWait is how long a call to a watcher waits, mirrorSlack how much
+	// longer it may take.
+	mirrorWait  = 400 * time.Millisecond
+	mirrorSlack = 300 * time.Millisecond
+	// versionsWait bounds how long a silent connection may hide a version.
+	versionsWait = 4 * time.Second
+	// asideFor is how long the store is asked after a watcher failed.
+	asideFor = 3 * clock.Second
 	// gather is the pause after changes of targets, which come in groups: each
 	// call to the store is paid for.
 	gather = 150 * time.Millisecond
@@ -45,7 +50,14 @@
 	heard func(askedAt clock.Millis)
 	// gather is the pause after changes, so that the next call brings several.
 	gather time.Duration
+	// mirror is what this instance shows to others, nil if the kind is not
+	// shared.
+	mirror *mirror
 	lost   bool
+	// confirming is set if the last watch brought changes.
+	confirming bool
+	// aside is until when the store is asked although there is a watcher.
+	aside clock.Millis
 }
 
 // run lists the objects and then waits for changes, until ctx ends.
@@ -71,6 +83,46 @@
 }
 
 func (f *feed) step(ctx context.Context, rev unit.Revision) (unit.Revision, error) {
+	if f.mirror != nil && f.p.clock.Now() >= f.aside {
+		if address := f.p.watcher(); address != "" {
+			next, err := f.stepMirror(ctx, address, rev)
+			if err == nil || errors.Is(err, platform.ErrHistoryGone) {
+				return next, err
+			}
+			f.aside = f.p.clock.Now() + asideFor
+			f.p.log.WithFields(logrus.Fields{"Kind": f.kind, "Watcher": address, "Error": err.Error()}).Info("watcher passed over")
+		}
+	}
+	return f.stepStore(ctx, rev)
+}
+
+// stepMirror asks a watcher instead of the store.
+func (f *feed) stepMirror(ctx context.Context, address string, rev unit.Revision) (unit.Revision, error) {
+	asked := f.p.clock.Now()
+	after := rev
+	if rev == 0 {
+		after = -1
+	}
+	a, err := f.p.askMirror(ctx, address, f.kind, after, mirrorWait)
+	if err != nil {
+		return 0, err
+	}
+	if rev == 0 {
+		f.listed(a.Objects)
+		f.mirror.listed(a.Objects, a.AsOf)
+	}
+	for _, c := range a.Changes {
+		f.changed(c)
+	}
+	f.mirror.followed(a.Changes, a.AsOf)
+	if wait := clock.Of(mirrorWait); rev > 0 && len(a.Changes) == 0 && f.p.clock.Now()-asked >= wait {
+		asked += wait
+	}
+	f.confirm(asked - a.AgeMillis)
+	return max(a.AsOf, rev), nil
+}
+
+func (f *feed) stepStore(ctx context.Context, rev unit.Revision) (unit.Revision, error) {
 	asked := f.p.clock.Now()
 	if rev == 0 {
 		objects, next, err := f.p.out.Store.ListKind(ctx, f.kind)
@@ -78,17 +130,28 @@
 			return 0, err
 		}
 		f.listed(objects)
+		if f.mirror != nil {
+			f.mirror.listed(objects, next)
+		}
 		f.confirm(asked)
 		return next, nil
 	}
-	changes, next, err := f.p.out.Store.Follow(ctx, f.kind, rev, f.wait)
+	wait := f.wait
+	if f.confirming && f.mirror != nil {
+		wait = confirmWait
+	}
+	changes, next, err := f.p.out.Store.Follow(ctx, f.kind, rev, wait)
 	if err != nil {
 		return rev, err
 	}
 	for _, c := range changes {
 		f.changed(c)
 	}
-	if wait := clock.Of(f.wait); len(changes) == 0 && f.p.clock.Now()-asked >= wait {
+	if f.mirror != nil {
+		f.mirror.followed(changes, next)
+	}
+	f.confirming = len(changes) > 0
+	if wait := clock.Of(wait); len(changes) == 0 && f.p.clock.Now()-asked >= wait {
 		// The store looked for changes until the end of the wait.
 		asked += wait
 	}
@@ -108,6 +171,9 @@
 }
 
 func (f *feed) confirm(asked clock.Millis) {
+	if f.mirror != nil {
+		f.mirror.confirm(asked)
+	}
 	if f.heard != nil {
 		f.heard(asked)
 	}
@@ -138,7 +204,10 @@
 		}
 		p.apply(op.TableChanged{Configuration: c, Revision: o.Revision})
 	}
-	f := &feed{p: p, kind: p.out.Kinds.Configuration, wait: configurationWait}
+	f := &feed{
+		p: p, kind: p.out.Kinds.Configuration, wait: sharedWait,
+		mirror: p.mirrors[p.out.Kinds.Configuration],
+	}
 	f.listed = func(objects []platform.Object) {
 		for _, o := range objects {
 			take(o)
@@ -154,7 +223,10 @@
 }
 
 func (p *Process) followTargets(ctx context.Context) {
-	f := &feed{p: p, kind: p.out.Kinds.Targets, wait: targetsWait, gather: gather}
+	f := &feed{
+		p: p, kind: p.out.Kinds.Targets, wait: sharedWait, gather: gather,
+		mirror: p.mirrors[p.out.Kinds.Targets],
+	}
 	f.listed = func(objects []platform.Object) {
 		var e op.TargetsListed
 		for _, o := range objects {
--- /dev/null
+++ b/internal/edge/mirror.go
@@ -0,0 +1,232 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/catkinhead/catkinhead/pkg/clock"
+	"github.com/catkinhead/catkinhead/pkg/platform"
+	"github.com/catkinhead/catkinhead/pkg/unit"
+)
+
+const (
+	// mirrorPath is where watchers show what they know of a kind of objects.
+	mirrorPath = "/v1/mirror/"
+	// mirrorChanges is how many changes a mirror keeps; whoever is further
+	// behind lists again.
+	mirrorChanges = 512
+	// mirrorAge is up to which age of its knowledge a watcher answers; beyond it
+	// the others ask the store.
+	mirrorAge clock.Millis = 1350
+	// mirrorBytes bounds an answer of a mirror, in bytes.
+	mirrorBytes = 16 << 20
+)
+
+// mirror is a watcher's copy of the objects of one kind, for instances that do
+// not watch the store themselves.
+type mirror struct {
+	mu      sync.Mutex
+	objects map[string]platform.Object
+	changes []platform.Change
+	// from is the revision after which all changes are kept, asOf the newest.
+	from, asOf unit.Revision
+	// confirmedAt is up to when all changes are known.
+	confirmedAt clock.Millis
+	known       bool
+	changed     chan struct{}
+}
+
+func newMirror() *mirror { return &mirror{changed: make(chan struct{})} }
+
+// listed replaces the objects.
+func (m *mirror) listed(objects []platform.Object, asOf unit.Revision) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.objects = make(map[string]platform.Object, len(objects))
+	for _, o := range objects {
+		m.objects[o.Key] = o
+	}
+	m.changes, m.from, m.asOf, m.known = nil, asOf, asOf, true
+	m.wake()
+}
+
+// followed adds changes.
+func (m *mirror) followed(changes []platform.Change, asOf unit.Revision) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, c := range changes {
+		if c.Deleted || c.Marked {
+			delete(m.objects, c.Object.Key)
+		} else {
+			m.objects[c.Object.Key] = c.Object
+		}
+		m.changes = append(m.changes, c)
+	}
+	if over := len(m.changes) - mirrorChanges; over > 0 {
+		m.from = m.changes[over-1].Object.Revision
+		m.changes = append([]platform.Change(nil), m.changes[over:]...)
+	}
+	if asOf > m.asOf {
+		m.asOf = asOf
+	}
+	if len(changes) > 0 {
+		m.wake()
+	}
+}
+
+// confirm notes up to when all changes are known.
+func (m *mirror) confirm(at clock.Millis) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.confirmedAt = max(m.confirmedAt, at)
+}
+
+func (m *mirror) wake() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// mirrorAnswer is what a mirror tells.
+type mirrorAnswer struct {
+	// Objects are set in answer to a list, Changes to a watch.
+	Objects []platform.Object `json:",omitempty"`
+	Changes []platform.Change `json:",omitempty"`
+	AsOf    unit.Revision
+	// AgeMillis is how old the knowledge is.
+	AgeMillis clock.Millis
+}
+
+// list returns all objects; false if they are not known well enough.
+func (m *mirror) list(now clock.Millis) (mirrorAnswer, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	a := mirrorAnswer{AsOf: m.asOf, AgeMillis: now - m.confirmedAt}
+	if !m.known || a.AgeMillis > mirrorAge {
+		return a, false
+	}
+	for _, o := range m.objects {
+		a.Objects = append(a.Objects, o)
+	}
+	return a, true
+}
+
+// after returns the changes after a revision, and a channel that is closed at
+// the next change.
+func (m *mirror) after(now clock.Millis, rev unit.Revision) (mirrorAnswer, <-chan struct{}, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	a := mirrorAnswer{AsOf: max(m.asOf, rev), AgeMillis: now - m.confirmedAt}
+	if !m.known || a.AgeMillis > mirrorAge {
+		return a, nil, errMirrorOld
+	}
+	if rev < m.from {
+		return a, nil, platform.ErrHistoryGone
+	}
+	for _, c := range m.changes {
+		if c.Object.Revision > rev {
+			a.Changes = append(a.Changes, c)
+		}
+	}
+	return a, m.changed, nil
+}
+
+// errMirrorOld means that a watcher does not know enough.
+var errMirrorOld = errors.New("watcher does not know the objects well enough")
+
+// serveMirror answers instances that do not watch the store themselves.
+func (p *Process) serveMirror(w http.ResponseWriter, r *http.Request) {
+	m := p.mirrors[r.URL.Path[len(mirrorPath):]]
+	if m == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	after, err := strconv.ParseInt(r.URL.Query().Get("After"), 10, 64)
+	var a mirrorAnswer
+	if err != nil {
+		var ok bool
+		if a, ok = m.list(p.clock.Now()); !ok {
+			err = errMirrorOld
+		} else {
+			err = nil
+		}
+	} else {
+		a, err = p.waitMirror(r, m, unit.Revision(after))
+	}
+	switch {
+	case errors.Is(err, platform.ErrHistoryGone):
+		w.WriteHeader(http.StatusGone)
+	case err != nil:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	default:
+		w.Header().Set("Content-Type", "application/json")
+		if err := json.NewEncoder(w).Encode(a); err != nil {
+			p.log.WithField("Error", err.Error()).Debug("answer of a mirror not written")
+		}
+	}
+}
+
+func (p *Process) waitMirror(r *http.Request, m *mirror, after unit.Revision) (mirrorAnswer, error) {
+	wait, err := strconv.ParseInt(r.URL.Query().Get("WaitMillis"), 10, 64)
+	if err != nil || wait < 0 {
+		wait = 0
+	}
+	a, changed, err := m.after(p.clock.Now(), after)
+	if err != nil || len(a.Changes) > 0 || wait == 0 {
+		return a, err
+	}
+	select {
+	case <-changed:
+	case <-time.After(clock.Millis(wait).Duration()):
+	case <-r.Context().Done():
+		return a, r.Context().Err()
+	}
+	a, _, err = m.after(p.clock.Now(), after)
+	return a, err
+}
+
+// askMirror asks a watcher. A negative revision asks for all objects.
+func (p *Process) askMirror(ctx context.Context, address, kind string, after unit.Revision, wait time.Duration) (mirrorAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+mirrorSlack)
+	defer cancel()
+	u := "http://" + address + mirrorPath + url.PathEscape(kind)
+	if after >= 0 {
+		u += fmt.Sprintf("?After=%d&WaitMillis=%d", after, wait.Milliseconds())
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u, nil)
+	if err != nil {
+		return mirrorAnswer{}, fmt.Errorf("make request: %w", err)
+	}
+	res, err := p.peers.http.Do(req)
+	if err != nil {
+		return mirrorAnswer{}, fmt.Errorf("ask watcher: %w", err)
+	}
+	defer res.Body.Close()
+	switch res.StatusCode {
+	case http.StatusOK:
+	case http.StatusGone:
+		return mirrorAnswer{}, platform.ErrHistoryGone
+	default:
+		return mirrorAnswer{}, errMirrorOld
+	}
+	var a mirrorAnswer
+	if err := json.NewDecoder(io.LimitReader(res.Body, mirrorBytes)).Decode(&a); err != nil {
+		return mirrorAnswer{}, fmt.Errorf("decode answer of a watcher: %w", err)
+	}
+	return a, nil
+}
+
+// watcher returns the address of the watcher that this instance asks; empty if
+// it watches the store itself.
+func (p *Process) watcher() string {
+	address := ""
+	p.ask(func(now clock.Millis, s *State) { address = s.Beats.Watcher(now) })
+	return address
+}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -105,22 +105,29 @@
 		case <-ctx.Done():
 		}
 	}
-	f := &feed{p: p, kind: instancesKind, wait: instancesWait}
-	f.listed = func(objects []platform.Object) {
-		e := op.PeersListed{Peers: make(map[unit.Instance]string)}
-		for _, o := range objects {
-			p.peerRecord(o, e.Peers)
-		}
-		p.apply(e)
+	for n := 0; ctx.Err() == nil; n++ {
+		p.listInstances(ctx)
+		sleep(ctx, instanceLists[min(n, len(instanceLists)-1)])
 	}
-	f.changed = func(c platform.Change) {
-		e := op.PeersListed{Peers: make(map[unit.Instance]string)}
-		if !c.Deleted {
-			p.peerRecord(c.Object, e.Peers)
-		}
-		p.apply(e)
+}
+
+// instanceLists are the pauses between readings of the instances. All start at
+// about the same time; those that come later tell the others themselves.
+var instanceLists = []time.Duration{
+	400 * time.Millisecond, 1500 * time.Millisecond, 4 * time.Second, time.Minute,
+}
+
+func (p *Process) listInstances(ctx context.Context) {
+	objects, _, err := p.out.Store.ListKind(ctx, instancesKind)
+	if err != nil {
+		p.log.WithField("Error", err.Error()).Warn("instances not listed")
+		return
+	}
+	e := op.PeersListed{Peers: make(map[unit.Instance]string)}
+	for _, o := range objects {
+		p.peerRecord(o, e.Peers)
 	}
-	f.run(ctx)
+	p.apply(e)
 }
 
 func (p *Process) peerRecord(o platform.Object, into map[unit.Instance]string) {
@@ -209,11 +216,12 @@
 	if p.relay == nil {
 		return g
 	}
-	// The relay stands outside of the router, whose recovery would turn a call
+	// The watches wait outside of the router as well. The relay stands outside of the router, whose recovery would turn a call
 	// that is broken off into an empty success.
 	mux := http.NewServeMux()
 	mux.Handle("/", g)
 	mux.Handle(relayPath, p.relay.Handler())
+	mux.HandleFunc(mirrorPath, p.serveMirror)
 	return mux
 }
 
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -70,6 +70,8 @@
 	endDuties context.CancelFunc
 	active    atomic.Int64
 	relay     *Relay
+	// mirrors holds what this instance shows of each kind that is shared.
+	mirrors map[string]*mirror
 }
 
 // New returns a process that does not run yet.
@@ -77,8 +79,9 @@
 	self := unit.Incarnation(fmt.Sprintf("%s#%020d", site.Instance, time.Now().UnixMicro()))
 	p := &Process{
 		site: site, out: out, clock: c, content: newContent(), relay: relay,
-		log:   log.WithFields(logrus.Fields{"Instance": site.Instance}),
-		state: NewState(site, self, c.Now()),
+		log:     log.WithFields(logrus.Fields{"Instance": site.Instance}),
+		state:   NewState(site, self, c.Now()),
+		mirrors: map[string]*mirror{out.Kinds.Configuration: newMirror(), out.Kinds.Targets: newMirror()},
 	}
 	var err error
 	if p.peers, err = newPeers(site); err != nil {
@@ -88,6 +91,11 @@
 		relay.peers = p.livePeers
 	}
 	p.metrics = p.newMetrics()
+	if relay != nil {
+		relay.observe = func(method, kind string, relayed bool) {
+			p.metrics.GetOrCreateCounter(fmt.Sprintf("catkinhead_store_requests_total{method=%q,kind=%q,relayed=\"%t\"}", method, kind, relayed)).Inc()
+		}
+	}
 	return p, nil
 }
 
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -35,6 +35,8 @@
 	// until is when the store is tried directly again.
 	until atomic.Int64
 	turn  atomic.Uint64
+	// observe is told of each call; it may be nil.
+	observe func(method, kind string, relayed bool)
 }
 
 // NewRelay returns a transport for the store at a host.
@@ -44,7 +46,11 @@
 
 // RoundTrip makes one call.
 func (r *Relay) RoundTrip(req *http.Request) (*http.Response, error) {
-	if peer := r.peer(); peer != "" {
+	peer := r.peer()
+	if r.observe != nil {
+		r.observe(req.Method, kindOf(req.URL.Path), peer != "")
+	}
+	if peer != "" {
 		return r.direct.RoundTrip(through(req, peer))
 	}
 	res, err := r.direct.RoundTrip(req)
@@ -54,6 +60,17 @@
 	return res, err
 }
 
+// kindOf returns the kind of objects that a call is about, without the job in
+// the names of kinds of results.
+func kindOf(path string) string {
+	parts := strings.Split(strings.TrimPrefix(path, "/"), "/")
+	if len(parts) < 2 {
+		return ""
+	}
+	kind, _, _ := strings.Cut(parts[1], "-")
+	return kind
+}
+
 // peer returns the peer to go through, empty to go directly.
 func (r *Relay) peer() string {
 	if r.peers == nil || int64(r.clock.Now()) >= r.until.Load() {
