--- a/internal/edge/jobs.go
+++ b/internal/edge/jobs.go
@@ -186,7 +186,7 @@
 		p.log.WithFields(logrus.Fields{"Job": e.Job, "From": e.From, "Error": err.Error()}).Warn("job not taken over")
 		return
 	}
-	if c.ended || len(c.results) == len(c.job.Items) {
+	if c.ended || len(c.results) == len(c.job.Items) && !e.Force {
 		p.apply(op.JobSettled{Job: e.Job})
 		return
 	}
@@ -463,6 +463,6 @@
 	}
 	var epoch unit.Epoch
 	p.ask(func(_ clock.Millis, s *State) { epoch = s.Beats.Epoch(call.Job) })
-	p.takeOver(ctx, op.TakeOver{Job: call.Job, Epoch: epoch})
+	p.takeOver(ctx, op.TakeOver{Job: call.Job, Epoch: epoch, Force: true})
 	return p.endLocal(ctx, call.Job)
 }
--- a/internal/op/hosted.go
+++ b/internal/op/hosted.go
@@ -442,6 +442,8 @@
 	Job   string
 	Epoch unit.Epoch
 	From  unit.Instance
+	// Force takes a job over that lists all results already, to end it.
+	Force bool
 }
 
 // ListJobs reads which jobs stand in the store.
