forward, edge: hold crashes against a content, take the fleet's median time

Change: a content whose attempts broke off three times within 20 s, here and at peers, is refused as not run until then; items that break at once wait ever longer; windows go by the median of the fleet's clocks; SIGHUP reads the settings again and says whether they changed. Tests: beat, lease, batch, mirror and forward, without a network; the last found that old crashes were held forever.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -29,6 +29,11 @@
 	oldFor clock.Millis = 400
 	// failedPause is the pause of an item after a failure.
 	failedPause clock.Millis = 50
+	// freeBreaks is how many runs may break without an event before the item
+	// waits ever longer: it may be what crashes its targets.
+	freeBreaks = 2
+	// longestPause bounds that wait.
+	longestPause clock.Millis = 8 * clock.Second
 )
 
 // firstEpoch is that of the instance that created a job.
@@ -55,6 +60,8 @@
 	// that the item goes on elsewhere.
 	Run    int64
 	Moving bool
+	// Barren counts the runs in a row that broke without an event.
+	Barren int
 	// Fails counts the failures that the target answered for itself.
 	Fails     int
 	NotBefore clock.Millis
@@ -125,7 +132,7 @@
 func (s *State) Reduce(now clock.Millis, ev op.Event, v View, out *op.List) {
 	switch e := ev.(type) {
 	case op.JobTaken:
-		s.taken(now, e, v, out)
+		s.taken(now, e, v)
 	case op.JobDropped:
 		s.dropped(e.Job, v, out)
 	case op.JobProgress:
@@ -222,7 +229,7 @@
 // Closed tells whether nothing more will be listed.
 func (j *Job) Closed() bool { return j.Ended || j.Listed == len(j.Items) && !j.Ending }
 
-func (s *State) taken(now clock.Millis, e op.JobTaken, v View, out *op.List) {
+func (s *State) taken(now clock.Millis, e op.JobTaken, v View) {
 	if s.Jobs == nil {
 		s.Jobs = make(map[string]*Job)
 		s.Refused = make(map[refusal]*probe)
@@ -290,6 +297,9 @@
 	if it.Phase != running || it.Run != e.Run {
 		return
 	}
+	if e.Last > it.Last {
+		it.Barren = 0
+	}
 	it.Phase, it.Last = waiting, e.Last
 	if p := s.Refused[refusal{e.Target, it.Model}]; p != nil && p.run == e.Run {
 		p.run = 0
@@ -299,6 +309,11 @@
 	case op.ItemWhole:
 		it.Phase = done
 		delete(s.Refused, refusal{e.Target, it.Model})
+	case op.ItemBroken:
+		it.Barren++
+		if it.Barren > freeBreaks {
+			it.NotBefore = now + min(failedPause<<min(it.Barren, 10), longestPause)
+		}
 	case op.ItemMoved:
 	case op.ItemNotRun:
 		s.Refused[refusal{e.Target, it.Model}] = &probe{until: now + refusedFor}
--- /dev/null
+++ b/internal/batch/batch_test.go
@@ -0,0 +1,267 @@
+package batch
+
+import (
+	"testing"
+
+	"github.com/catkinhead/catkinhead/internal/op"
+	"github.com/catkinhead/catkinhead/internal/roster"
+	"github.com/catkinhead/catkinhead/internal/route"
+	"github.com/catkinhead/catkinhead/pkg/clock"
+	"github.com/catkinhead/catkinhead/pkg/platform"
+	"github.com/catkinhead/catkinhead/pkg/unit"
+)
+
+// bench is an owner of jobs, its targets and what it asked for.
+type bench struct {
+	state State
+	view  View
+	now   clock.Millis
+	runs  []op.RunItem
+	out   op.List
+}
+
+func newBench(targets ...platform.TargetEntry) *bench {
+	b := &bench{state: State{Self: "a"}}
+	b.view = View{Roster: &roster.State{}, Table: route.New(platform.Configuration{Routes: []platform.RouteRule{{
+		Name: "r", Repeat: platform.Batch, MaxAttempts: 2, GiveUpAfter: 40_000, DueAfter: 7500,
+		Split: []platform.Share{{Pool: "p"}},
+	}}}, 1)}
+	for _, t := range targets {
+		t.Pool = "p"
+		b.view.Roster.Changed(0, t)
+	}
+	return b
+}
+
+func target(id unit.Target, slots int, version unit.Version) platform.TargetEntry {
+	return platform.TargetEntry{Target: id, Slots: slots, Models: []platform.ModelState{{Model: "m", Version: version}}}
+}
+
+func (b *bench) apply(ev op.Event) {
+	b.out = nil
+	b.state.Reduce(b.now, ev, b.view, &b.out)
+	for _, e := range b.out {
+		if r, ok := e.(op.RunItem); ok {
+			b.runs = append(b.runs, r)
+		}
+	}
+}
+
+func (b *bench) take(minVersion unit.Version, items ...op.ItemShape) {
+	for i := range items {
+		items[i].Model = "m"
+	}
+	b.apply(op.JobTaken{Epoch: 1, Shape: op.JobShape{
+		ID: "j", Route: "r", Pool: "p", MinVersion: minVersion, WantGroups: 1, Items: items,
+	}})
+}
+
+// end ends the run of an item that began last.
+func (b *bench) end(item int, end op.ItemEnd, last int64) {
+	for i := len(b.runs) - 1; i >= 0; i-- {
+		if r := b.runs[i]; r.Item == item {
+			b.apply(op.ItemEnded{Job: "j", Item: item, Run: r.Run, Target: r.Target, End: end, Last: last})
+			return
+		}
+	}
+}
+
+func (b *bench) chunk() *op.AppendChunk {
+	for _, e := range b.out {
+		if c, ok := e.(op.AppendChunk); ok {
+			return &c
+		}
+	}
+	return nil
+}
+
+func TestLongItemsStartFirst(t *testing.T) {
+	b := newBench(target("t", 2, 1))
+	b.take(1, op.ItemShape{Expected: 5}, op.ItemShape{Expected: 900}, op.ItemShape{Expected: 50})
+	if len(b.runs) != 2 || b.runs[0].Item != 1 || b.runs[1].Item != 2 {
+		t.Errorf("started %+v", b.runs)
+	}
+}
+
+func TestOldVersionsRunNothing(t *testing.T) {
+	b := newBench(target("old", 4, 2), target("new", 1, 3))
+	b.take(3, op.ItemShape{}, op.ItemShape{})
+	if len(b.runs) != 1 || b.runs[0].Target != "new" || b.runs[0].MinVersion != 3 {
+		t.Errorf("started %+v", b.runs)
+	}
+}
+
+func TestSlotsThatOthersTookAreNotUsed(t *testing.T) {
+	b := newBench(target("t", 4, 1))
+	b.view.Roster.Elsewhere(map[unit.Target]int{"t": 3})
+	b.take(1, op.ItemShape{}, op.ItemShape{})
+	if len(b.runs) != 1 {
+		t.Errorf("started %d runs on one free slot", len(b.runs))
+	}
+}
+
+func TestARefusingTargetGetsOneItemToTry(t *testing.T) {
+	b := newBench(target("t", 4, 1))
+	b.take(1, op.ItemShape{}, op.ItemShape{}, op.ItemShape{})
+	for i := range 3 {
+		b.end(i, op.ItemNotRun, -1)
+	}
+	b.runs = nil
+	b.now += refusedFor
+	b.apply(op.Tick{})
+	if len(b.runs) != 1 {
+		t.Fatalf("%d items try a target that refused", len(b.runs))
+	}
+	b.apply(op.VersionSeen{Target: "t", Model: "m"})
+	if len(b.runs) != 3 {
+		t.Errorf("%d items run at a target that takes them again", len(b.runs))
+	}
+}
+
+func TestBrokenRunsGoOnFromTheLastEvent(t *testing.T) {
+	b := newBench(target("t", 1, 1), target("u", 1, 1))
+	b.take(1, op.ItemShape{})
+	first := b.runs[0].Target
+	b.end(0, op.ItemBroken, 17)
+	if got := b.runs[len(b.runs)-1]; len(b.runs) != 2 || got.After != 17 || got.Target == first {
+		t.Errorf("went on with %+v", got)
+	}
+}
+
+func TestItemsAreGivenUp(t *testing.T) {
+	tests := map[string]struct {
+		ends []op.ItemEnd
+		want bool
+	}{
+		"impossible":            {[]op.ItemEnd{op.ItemImpossible}, true},
+		"failed once":           {[]op.ItemEnd{op.ItemFailed}, false},
+		"failed at each run":    {[]op.ItemEnd{op.ItemFailed, op.ItemFailed}, true},
+		"broken however often":  {[]op.ItemEnd{op.ItemBroken, op.ItemBroken, op.ItemBroken, op.ItemBroken}, false},
+		"refused however often": {[]op.ItemEnd{op.ItemNotRun, op.ItemNotRun, op.ItemNotRun}, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(target("t", 9, 1))
+			b.take(1, op.ItemShape{})
+			for _, end := range tt.ends {
+				b.end(0, end, -1)
+				for range 100 {
+					b.now += 50
+					if c := b.chunk(); c == nil {
+						b.apply(op.Tick{})
+					}
+				}
+			}
+			if got := b.state.Jobs["j"].Items[0].Phase == givenUp; got != tt.want {
+				t.Errorf("given up: %v", got)
+			}
+		})
+	}
+}
+
+func TestItemsAreGivenUpAfterTheirTime(t *testing.T) {
+	b := newBench(target("t", 1, 1))
+	b.take(1, op.ItemShape{}, op.ItemShape{})
+	b.now = 40_000
+	b.apply(op.Tick{})
+	if c := b.chunk(); c == nil || len(c.GivenUp) != 2 {
+		t.Errorf("wrote %+v", c)
+	}
+}
+
+func TestItemsThatBreakAtOnceWaitEverLonger(t *testing.T) {
+	b := newBench(target("t", 9, 1), target("u", 9, 1), target("v", 9, 1))
+	b.take(1, op.ItemShape{})
+	for b.now = 0; b.now < 20_000; b.now += 50 {
+		b.apply(op.Tick{})
+		b.end(0, op.ItemBroken, -1)
+	}
+	if n := len(b.runs); n > 16 {
+		t.Errorf("%d runs in 20 s of an item that breaks at once", n)
+	}
+}
+
+func TestSlowTargetsLoseTheirItems(t *testing.T) {
+	b := newBench(target("t", 1, 1), target("u", 1, 1), target("v", 1, 1))
+	b.take(1, op.ItemShape{})
+	slow := b.runs[0].Target
+	paces := map[unit.Target]float64{"t": 40, "u": 40, "v": 40}
+	paces[slow] = 130
+	for range 2 {
+		b.view.Roster.Paces(b.now, paces)
+	}
+	b.apply(op.Tick{})
+	moved := 0
+	for _, e := range b.out {
+		if _, ok := e.(op.MoveItem); ok {
+			moved++
+		}
+	}
+	if moved != 1 {
+		t.Fatalf("%d items moved", moved)
+	}
+	b.end(0, op.ItemMoved, 30)
+	if got := b.runs[len(b.runs)-1]; got.Target == slow || got.After != 30 {
+		t.Errorf("went on with %+v", got)
+	}
+}
+
+func TestResultsAreWrittenTogether(t *testing.T) {
+	b := newBench(target("t", 9, 1))
+	b.take(1, op.ItemShape{Group: "g"}, op.ItemShape{Group: "g"}, op.ItemShape{Group: "h"}, op.ItemShape{Group: "h"})
+	b.state.Jobs["j"].WantGroups = 2
+	b.end(0, op.ItemWhole, 3)
+	c := b.chunk()
+	if c == nil || len(c.Done) != 1 {
+		t.Fatalf("wrote %+v", c)
+	}
+	b.apply(op.Appended{Job: "j", Chunk: 0, Result: op.Done, Other: op.ChunkShape{Items: c.Done, Owner: "a", Epoch: 1}})
+	b.end(1, op.ItemWhole, 3)
+	b.end(2, op.ItemWhole, 3)
+	if c := b.chunk(); c != nil {
+		t.Errorf("wrote %+v at once", c)
+	}
+	b.end(3, op.ItemWhole, 3)
+	if c := b.chunk(); c == nil || len(c.Done) != 3 {
+		t.Errorf("what completes the job is not written at once: %+v", c)
+	}
+}
+
+func TestALeavingOwnerWritesAndLetsGo(t *testing.T) {
+	b := newBench(target("t", 9, 1))
+	b.take(1, op.ItemShape{}, op.ItemShape{})
+	b.view.Draining = true
+	b.apply(op.Tick{})
+	b.end(0, op.ItemMoved, 12)
+	if b.chunk() != nil {
+		t.Error("wrote before all runs had ended")
+	}
+	b.end(1, op.ItemMoved, 13)
+	c := b.chunk()
+	if c == nil || !c.Save {
+		t.Fatalf("wrote %+v", c)
+	}
+	b.apply(op.Appended{Job: "j", Chunk: 0, Result: op.Lost})
+	if len(b.state.Jobs) != 1 {
+		t.Error("let go of what is not written")
+	}
+	b.now += retryAppend
+	b.apply(op.Tick{})
+	if c := b.chunk(); c == nil || !c.Save {
+		t.Fatalf("not written again: %+v", c)
+	}
+	b.apply(op.Appended{Job: "j", Chunk: 0, Result: op.Done, Other: op.ChunkShape{Owner: "a", Epoch: 1}})
+	if len(b.state.Jobs) != 0 {
+		t.Error("the job was not let go")
+	}
+}
+
+func BenchmarkAdvance(b *testing.B) {
+	w := newBench(target("t", 16, 1), target("u", 16, 1))
+	items := make([]op.ItemShape, 256)
+	w.take(1, items...)
+	for b.Loop() {
+		var out op.List
+		w.state.Advance(w.now, w.view, &out)
+	}
+}
--- a/internal/beat/beat.go
+++ b/internal/beat/beat.go
@@ -39,6 +39,8 @@
 type Peer struct {
 	op.Beat
 	HeardAt clock.Millis
+	// WallOffset is how far the peer's clock is ahead of this instance's.
+	WallOffset clock.Millis
 }
 
 // known is a job of the fleet.
@@ -171,16 +173,16 @@
 	}
 }
 
-// Heard takes a heartbeat. It returns the jobs that the peer owns under a
+// Heard takes a heartbeat at a Unix time. It returns the jobs that the peer owns under a
 // higher claim than the given epochs of this instance.
-func (s *State) Heard(now clock.Millis, b op.Beat, own map[string]unit.Epoch) []string {
+func (s *State) Heard(now, wall clock.Millis, b op.Beat, own map[string]unit.Epoch) []string {
 	if s.Peers == nil {
 		s.Peers = make(map[unit.Instance]*Peer)
 	}
 	if old := s.Peers[b.Instance]; old != nil && old.Incarnation == b.Incarnation && b.Seq <= old.Seq {
 		return nil
 	}
-	s.Peers[b.Instance] = &Peer{Beat: b, HeardAt: now}
+	s.Peers[b.Instance] = &Peer{Beat: b, HeardAt: now, WallOffset: b.Wall - wall}
 	var lost []string
 	has := make(map[string]bool, len(b.Jobs))
 	for _, j := range b.Jobs {
--- a/internal/cli/hosted.go
+++ b/internal/cli/hosted.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/pprof"
+	"os"
 	"os/signal"
 	"runtime/debug"
 	"syscall"
@@ -100,7 +101,7 @@
 		return fmt.Errorf("start: %w", err)
 	}
 	log.WithFields(logrus.Fields{"Instance": site.Instance, "DataCentre": site.DataCentre, "Front": site.Front}).Info("started")
-	<-ctx.Done()
+	waitHosted(ctx, site, log)
 	stop, cancel := context.WithTimeout(context.Background(), site.Terms.StopWithin)
 	defer cancel()
 	if err := app.Stop(stop); err != nil {
@@ -110,8 +111,29 @@
 	return nil
 }
 
-// ignoreSignals keeps a reload of the settings file, which is read at each
-// start, and writes to closed connections from ending the process.
+// waitHosted waits for the end of ctx. At each SIGHUP the settings file is read
+// again; what it holds takes effect at a start, so a change is logged.
+func waitHosted(ctx context.Context, site base.Site, log *logrus.Logger) {
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	defer signal.Stop(reloads)
+	for {
+		select {
+		case <-reloads:
+			now, err := platform.LoadSettings()
+			if err != nil {
+				log.WithField("Error", err.Error()).Warn("settings file is not readable; what was read at the start holds")
+				continue
+			}
+			log.WithField("Changed", now != site).Info("settings read again; changes hold from the next start")
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// ignoreSignals keeps writes to closed connections, and a reload before it is
+// waited for, from ending the process.
 func ignoreSignals() {
 	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
 }
--- a/internal/edge/front.go
+++ b/internal/edge/front.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/catkinhead/catkinhead/internal/op"
@@ -68,10 +69,22 @@
 	p.calls.Store(f.id, f.box)
 	defer p.calls.Delete(f.id)
 	call := p.out.Ingress.Batch(r)
-	p.apply(op.Asked{Call: f.id, Host: r.Host, Path: r.URL.Path, Head: f.head, Batch: call.Call != platform.NoBatchCall})
+	p.apply(op.Asked{Call: f.id, Host: r.Host, Path: r.URL.Path, Head: f.head, Batch: call.Call != platform.NoBatchCall, Fingerprint: f.fingerprint()})
 	f.serve(call)
 }
 
+// fingerprint identifies the content of the request and its caller.
+func (f *front) fingerprint() unit.Fingerprint {
+	h := xxhash.New()
+	for _, part := range []string{f.r.Method, f.r.Host, f.r.RequestURI, f.head.Key} {
+		// Writing to a hash does not fail.
+		_, _ = h.WriteString(part)
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(f.body)
+	return unit.Fingerprint(h.Sum64())
+}
+
 // read reads the body within the configuration's limits.
 func (f *front) read() bool {
 	limit := int64(defaultBody)
@@ -160,8 +173,8 @@
 
 // attempt sends the request to a target and passes the answer on.
 func (f *front) attempt(e op.PassOn) op.Passed {
-	end := op.Passed{Call: f.id, Target: e.Target, SentAt: f.p.clock.Wall()}
 	sent := f.p.clock.Now()
+	end := op.Passed{Call: f.id, Target: e.Target, SentAt: sent}
 	ctx, cancel := context.WithTimeout(f.r.Context(), (e.Until - sent).Duration())
 	defer cancel()
 	reply, err := f.p.out.Backends.Do(ctx, platform.Outgoing{
@@ -176,6 +189,7 @@
 	var failure *platform.Failure
 	if errors.As(err, &failure) {
 		end.Outcome, end.Leaving = failure.Outcome, failure.Leaving
+		end.Crashed = failure.Crashed && ctx.Err() == nil
 	}
 	end.Whole = err == nil
 	f.logAttempt(e, end, sent, err)
--- /dev/null
+++ b/internal/edge/mirror_test.go
@@ -0,0 +1,86 @@
+package edge
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/catkinhead/catkinhead/pkg/platform"
+	"github.com/catkinhead/catkinhead/pkg/unit"
+)
+
+func change(key string, rev unit.Revision, deleted bool) platform.Change {
+	return platform.Change{Object: platform.Object{Key: key, Revision: rev}, Deleted: deleted}
+}
+
+func TestMirror(t *testing.T) {
+	m := newMirror()
+	if _, ok := m.list(0); ok {
+		t.Error("an empty mirror answers")
+	}
+	m.listed([]platform.Object{{Key: "k/a", Revision: 3}}, 5)
+	m.confirm(1000)
+	m.followed([]platform.Change{change("k/b", 6, false), change("k/a", 7, true)}, 7)
+	a, ok := m.list(1500)
+	if !ok || len(a.Objects) != 1 || a.Objects[0].Key != "k/b" || a.AsOf != 7 || a.AgeMillis != 500 {
+		t.Errorf("got %+v, %v", a, ok)
+	}
+	if got, _, err := m.after(1500, 6); err != nil || len(got.Changes) != 1 || !got.Changes[0].Deleted {
+		t.Errorf("got %+v, %v", got, err)
+	}
+	if _, _, err := m.after(1500, 4); !errors.Is(err, platform.ErrHistoryGone) {
+		t.Errorf("got %v for changes that are not kept", err)
+	}
+}
+
+func TestAMirrorThatMayHideChangesDoesNotAnswer(t *testing.T) {
+	m := newMirror()
+	m.listed(nil, 5)
+	m.confirm(0)
+	if _, ok := m.list(mirrorAge); !ok {
+		t.Error("silent within the bound")
+	}
+	if _, ok := m.list(mirrorAge + 1); ok {
+		t.Error("answers beyond the bound")
+	}
+	if _, _, err := m.after(mirrorAge+1, 5); err == nil {
+		t.Error("answers a watch beyond the bound")
+	}
+}
+
+func TestAMirrorForgetsOldChanges(t *testing.T) {
+	m := newMirror()
+	m.listed(nil, 1)
+	m.confirm(0)
+	for rev := unit.Revision(2); rev < mirrorChanges+100; rev++ {
+		m.followed([]platform.Change{change("k/a", rev, false)}, rev)
+	}
+	if _, _, err := m.after(0, 50); !errors.Is(err, platform.ErrHistoryGone) {
+		t.Errorf("got %v", err)
+	}
+	a, _, err := m.after(0, mirrorChanges)
+	if err != nil || a.Changes[0].Object.Revision != mirrorChanges+1 {
+		t.Errorf("got %+v, %v", a.Changes, err)
+	}
+}
+
+func TestAMirrorWakesWaiters(t *testing.T) {
+	m := newMirror()
+	m.listed(nil, 1)
+	m.confirm(0)
+	_, changed, err := m.after(0, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.followed(nil, 2)
+	select {
+	case <-changed:
+		t.Error("woken without a change")
+	default:
+	}
+	m.followed([]platform.Change{change("k/a", 3, false)}, 3)
+	select {
+	case <-changed:
+	default:
+		t.Error("not woken")
+	}
+}
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -228,16 +228,28 @@
 // Ready tells whether callers should be sent here.
 func (s *State) Ready(now clock.Millis) bool { return !s.Draining && s.Table != nil && s.Fresh(now) }
 
-// Wall is the Unix time at now.
+// Wall is the Unix time at now: the median of the fleet's clocks, of which some
+// may have jumped.
 func (s *State) Wall(now clock.Millis) clock.Millis {
 	if s.WallAt == 0 {
 		return 0
 	}
-	return s.WallAt + now - s.TickAt
+	offsets := []clock.Millis{0}
+	for _, p := range s.Beats.LivePeers(now) {
+		offsets = append(offsets, p.WallOffset)
+	}
+	slices.Sort(offsets)
+	return s.ownWall(now) + offsets[(len(offsets)-1)/2]
 }
 
+// ownWall is the Unix time of this instance's own clock.
+func (s *State) ownWall(now clock.Millis) clock.Millis { return s.WallAt + now - s.TickAt }
+
 func (s *State) forwardView(now clock.Millis) forward.View {
-	return forward.View{Roster: &s.Roster, Table: s.Table, Fresh: s.Fresh(now), Age: s.Age(now), Tally: &s.Tally}
+	return forward.View{
+		Roster: &s.Roster, Table: s.Table, Fresh: s.Fresh(now), Age: s.Age(now), Tally: &s.Tally,
+		Wall: s.Wall(now), Crashes: s.crashes(now),
+	}
 }
 
 func (s *State) batchView() batch.View {
@@ -277,7 +289,7 @@
 	for id, j := range s.Batch.Jobs {
 		own[id] = j.Epoch
 	}
-	for _, id := range s.Beats.Heard(now, b, own) {
+	for _, id := range s.Beats.Heard(now, s.ownWall(now), b, own) {
 		out.Add(op.Note{Level: "info", Message: "job dropped for another owner", Fields: map[string]string{
 			"Job": id, "Owner": string(b.Instance),
 		}})
@@ -299,6 +311,17 @@
 	return live
 }
 
+// crashes adds up what the live peers hold against contents.
+func (s *State) crashes(now clock.Millis) map[unit.Fingerprint]int {
+	sum := make(map[unit.Fingerprint]int)
+	for _, p := range s.Beats.LivePeers(now) {
+		for f, n := range p.Crashes {
+			sum[f] += n
+		}
+	}
+	return sum
+}
+
 // sumRunning adds up what the live peers have at each target.
 func (s *State) sumRunning(now clock.Millis) {
 	sum := make(map[unit.Target]int)
@@ -334,8 +357,8 @@
 	_, _, held := s.Leases.Holds(Duties, now)
 	b := op.Beat{
 		Instance: s.Site.Instance, Incarnation: s.Self, Seq: s.seq, Address: s.PeerAddress(),
-		DataCentre: s.Site.DataCentre, Uptime: now - s.started, Leaving: s.Draining, Holder: held,
-		Orphans: s.Beats.Orphans(), Counts: s.Tally.Told(s.liveSources(now)), Running: s.Roster.Own(), Demands: s.Batch.Demands(),
+		DataCentre: s.Site.DataCentre, Uptime: now - s.started, Wall: s.ownWall(now), Leaving: s.Draining, Holder: held,
+		Orphans: s.Beats.Orphans(), Counts: s.Tally.Told(s.liveSources(now)), Running: s.Roster.Own(), Demands: s.Batch.Demands(), Crashes: s.Forward.Crashes(now),
 	}
 	if l := s.Leases.Leases[Duties]; held && l != nil {
 		b.Lease = l.Revision
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -24,6 +24,14 @@
 	// tryAtLeast is the least time that an attempt gets before another target
 	// is tried: several times the work of a usual request.
 	tryAtLeast clock.Millis = 250
+	// crashLimit is after how many crashes of targets a content is refused.
+	crashLimit = 3
+	// crashMemory is how long crashes are held against a content.
+	crashMemory clock.Millis = 20 * clock.Second
+	// crashContents bounds how many contents are remembered.
+	crashContents = 256
+	// retrySuspect is the hint to callers of such a content.
+	retrySuspect clock.Millis = 10 * clock.Second
 	// marginAtEnd is kept free before a caller's deadline for the answer's way.
 	marginAtEnd clock.Millis = 20
 )
@@ -39,12 +47,20 @@
 	at unit.Target
 	// unknown is set once an attempt may have run.
 	unknown bool
+	content unit.Fingerprint
+}
+
+// crash is what is held against a content.
+type crash struct {
+	count int
+	at    clock.Millis
 }
 
 // State is the requests under way.
 type State struct {
-	calls map[op.CallID]*call
-	turn  int
+	calls   map[op.CallID]*call
+	turn    int
+	crashes map[unit.Fingerprint]crash
 }
 
 // View is what decisions on requests rest on.
@@ -56,6 +72,10 @@
 	Fresh bool
 	Age   clock.Millis
 	Tally *tally.State
+	// Wall is the Unix time.
+	Wall clock.Millis
+	// Crashes counts what the peers hold against contents.
+	Crashes map[unit.Fingerprint]int
 }
 
 // Reduce handles the events of requests.
@@ -110,7 +130,14 @@
 	if s.calls == nil {
 		s.calls = make(map[op.CallID]*call)
 	}
-	c := &call{rule: rule, workspace: w, deadline: now + limit(e.Head.Left, rule.Timeout), pool: s.share(rule)}
+	if s.suspect(now, e.Fingerprint, v) {
+		out.Add(op.Respond{
+			Call: e.Call, Status: http.StatusServiceUnavailable, Reason: op.CrashSuspect, Outcome: unit.NotRun,
+			RetryAfter: retrySuspect, Route: rule.Name, KnownFor: v.Age,
+		})
+		return
+	}
+	c := &call{rule: rule, workspace: w, content: e.Fingerprint, deadline: now + limit(e.Head.Left, rule.Timeout), pool: s.share(rule)}
 	s.calls[e.Call] = c
 	s.dispatch(now, e.Call, c, v, out)
 }
@@ -185,8 +212,14 @@
 	}
 	c.at = ""
 	v.Roster.Ended(now, e.Target, !e.Whole && e.Outcome != unit.NotRun || e.Leaving)
+	switch {
+	case e.Whole:
+		delete(s.crashes, c.content)
+	case e.Crashed:
+		s.crashed(now, c.content)
+	}
 	if e.Outcome != unit.NotRun && !c.unknown {
-		v.Tally.Began(e.SentAt, c.workspace)
+		v.Tally.Began(v.Wall-(now-e.SentAt), c.workspace)
 	}
 	if e.Whole || e.Begun {
 		delete(s.calls, e.Call)
@@ -194,6 +227,9 @@
 	}
 	c.unknown = c.unknown || e.Outcome != unit.NotRun
 	again := e.Outcome == unit.NotRun || c.rule.Repeat == platform.Idempotent
+	if s.suspect(now, c.content, v) {
+		again = false
+	}
 	switch {
 	case now+marginAtEnd >= c.deadline:
 		s.finish(now, e.Call, c, op.TimedOut, v, out)
@@ -204,6 +240,44 @@
 	}
 }
 
+// suspect tells whether a content has crashed as many targets as it may, here
+// and at peers.
+func (s *State) suspect(now clock.Millis, content unit.Fingerprint, v View) bool {
+	n := v.Crashes[content]
+	if c := s.crashes[content]; now <= c.at+crashMemory {
+		n += c.count
+	}
+	return n >= crashLimit
+}
+
+// crashed holds a crash against a content, and forgets old ones.
+func (s *State) crashed(now clock.Millis, content unit.Fingerprint) {
+	if s.crashes == nil {
+		s.crashes = make(map[unit.Fingerprint]crash)
+	}
+	for f, c := range s.crashes {
+		if now > c.at+crashMemory {
+			delete(s.crashes, f)
+		}
+	}
+	c, known := s.crashes[content]
+	if !known && len(s.crashes) >= crashContents {
+		return
+	}
+	s.crashes[content] = crash{c.count + 1, now}
+}
+
+// Crashes returns how many targets each content seems to have crashed.
+func (s *State) Crashes(now clock.Millis) map[unit.Fingerprint]int {
+	out := make(map[unit.Fingerprint]int)
+	for f, c := range s.crashes {
+		if now <= c.at+crashMemory {
+			out[f] = c.count
+		}
+	}
+	return out
+}
+
 // attempts is how many targets may be tried. A target that did not run the
 // request does not count against the route's limit, but the tries end all the
 // same.
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -8,6 +8,7 @@
 	"github.com/catkinhead/catkinhead/internal/roster"
 	"github.com/catkinhead/catkinhead/internal/route"
 	"github.com/catkinhead/catkinhead/internal/tally"
+	"github.com/catkinhead/catkinhead/pkg/clock"
 	"github.com/catkinhead/catkinhead/pkg/platform"
 	"github.com/catkinhead/catkinhead/pkg/unit"
 )
@@ -152,6 +153,44 @@
 	}
 }
 
+func TestContentsThatCrashTargetsAreRefused(t *testing.T) {
+	v := view("a", "b", "c", "d")
+	fail := func(s *State, at clock.Millis) op.Effect {
+		var out op.List
+		s.Reduce(at, op.Asked{Call: 1, Host: "h", Path: "/safe/x", Head: platform.Head{Key: "k", Left: 800}, Fingerprint: 9}, v, &out)
+		e := out[0]
+		for {
+			p, ok := e.(op.PassOn)
+			if !ok {
+				return e
+			}
+			out = nil
+			s.Reduce(at, op.Passed{Call: 1, Target: p.Target, Outcome: unit.Unknown, Crashed: true}, v, &out)
+			e = out[0]
+		}
+	}
+	s := &State{}
+	fail(s, 0)
+	if n := s.Crashes(0)[9]; n != 2 {
+		t.Fatalf("%d crashes after both attempts", n)
+	}
+	fail(s, 1)
+	if n := s.Crashes(1)[9]; n != crashLimit {
+		t.Errorf("%d targets crashed, want no more than %d", n, crashLimit)
+	}
+	if r := fail(s, 2).(op.Respond); r.Reason != op.CrashSuspect || r.Outcome != unit.NotRun || r.RetryAfter == 0 {
+		t.Errorf("got %+v", r)
+	}
+	v.Crashes = map[unit.Fingerprint]int{9: crashLimit}
+	if r := fail(&State{}, 0).(op.Respond); r.Reason != op.CrashSuspect {
+		t.Errorf("what peers saw is not held against it: %+v", r)
+	}
+	v.Crashes = nil
+	if r := fail(s, 2+crashMemory+1).(op.Respond); r.Reason == op.CrashSuspect {
+		t.Error("it is refused forever")
+	}
+}
+
 func TestSplitByWeight(t *testing.T) {
 	s := &State{}
 	rule := platform.RouteRule{Split: []platform.Share{{Pool: "p", Weight: 90}, {Pool: "q", Weight: 10}}}
--- a/internal/op/hosted.go
+++ b/internal/op/hosted.go
@@ -26,6 +26,8 @@
 	Head platform.Head
 	// Batch is set for a call about a job that exists.
 	Batch bool
+	// Fingerprint identifies the content, whoever sends it again.
+	Fingerprint unit.Fingerprint
 }
 
 // Passed ends an attempt at a target. Whole is set if the answer went to the
@@ -37,7 +39,9 @@
 	Begun   bool
 	Outcome unit.Outcome
 	Leaving bool
-	// SentAt is the Unix time at which the attempt was sent.
+	// Crashed is set if the connection broke before any answer.
+	Crashed bool
+	// SentAt is when the attempt was sent.
 	SentAt clock.Millis
 }
 
@@ -379,7 +383,9 @@
 	Address    string
 	DataCentre unit.DataCentre
 	Uptime     clock.Millis
-	Leaving    bool
+	// Wall is the instance's Unix time.
+	Wall    clock.Millis
+	Leaving bool
 	// Holder is set while the instance holds the lease of the duties.
 	Holder  bool
 	Jobs    []JobNote `json:",omitempty"`
@@ -388,6 +394,8 @@
 	Counts []SourceCounts `json:",omitempty"`
 	// Lease is the revision of the lease that the holder renewed last.
 	Lease unit.Revision `json:",omitempty"`
+	// Crashes counts the targets that each content seems to have crashed.
+	Crashes map[unit.Fingerprint]int `json:",omitempty"`
 	// Demands are what the instance's jobs wait for.
 	Demands []Demand `json:",omitempty"`
 	// Running are the attempts that the instance has at each target.
