--- a/internal/edge/items.go
+++ b/internal/edge/items.go
@@ -119,6 +119,8 @@
 	stall   *time.Timer
 	// at is when the last event came.
 	at clock.Millis
+	// request is the item's id, as its target knows it.
+	request unit.Request
 }
 
 func (p *Process) runOnce(ctx context.Context, cancel func(), e op.RunItem) {
@@ -143,7 +145,7 @@
 
 func (r *run) logEnd(end op.ItemEnd, err error) {
 	fields := logrus.Fields{
-		"Job": r.e.Job, "Item": r.e.Item, "Target": r.e.Target, "End": end, "After": r.e.After, "Last": r.last,
+		"Request": r.request, "Job": r.e.Job, "Item": r.e.Item, "Target": r.e.Target, "End": end, "After": r.e.After, "Last": r.last,
 		"Version": r.version, "MinVersion": r.e.MinVersion, "TookMillis": r.p.clock.Now() - r.began,
 	}
 	if err != nil {
@@ -155,6 +157,7 @@
 
 func (r *run) do(ctx context.Context) (op.ItemEnd, error) {
 	o, ok := r.outgoing()
+	r.request = o.Attempt
 	if !ok {
 		return op.ItemNotRun, errors.New("job is gone")
 	}
