--- a/internal/cli/hosted.go
+++ b/internal/cli/hosted.go
@@ -78,11 +78,10 @@
 	sink := logs.NewSink(logCtx, out)
 	defer func() { _ = sink.Wait() }()
 	defer endLog()
-	level, err := logrus.ParseLevel(f.logLevel)
+	log, err := newLogger(f.logLevel, sink)
 	if err != nil {
-		return fmt.Errorf("log level: %w", err)
+		return err
 	}
-	log := logs.New(level, sink)
 	site, err := platform.LoadSettings()
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
@@ -237,11 +236,10 @@
 // nothing has to be moved.
 func serveStorage(ctx context.Context, f hostedFlags, out io.Writer) error {
 	ignoreSignals()
-	level, err := logrus.ParseLevel(f.logLevel)
+	log, err := newLogger(f.logLevel, out)
 	if err != nil {
-		return fmt.Errorf("log level: %w", err)
+		return err
 	}
-	log := logs.New(level, out)
 	site, err := platform.LoadSettings()
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -7,11 +7,11 @@
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"github.com/integrii/flaggy"
 	"github.com/sirupsen/logrus"
 
+	"github.com/catkinhead/catkinhead/internal/logs"
 	"github.com/catkinhead/catkinhead/internal/serve"
 	"github.com/catkinhead/catkinhead/internal/setting"
 	"github.com/catkinhead/catkinhead/pkg/unit"
@@ -86,14 +86,5 @@
 	if err != nil {
 		return nil, fmt.Errorf("log level: %w", err)
 	}
-	log := logrus.New()
-	log.SetLevel(l)
-	log.SetOutput(to)
-	log.SetFormatter(&logrus.JSONFormatter{
-		TimestampFormat: time.RFC3339Nano,
-		FieldMap: logrus.FieldMap{
-			logrus.FieldKeyTime: "Time", logrus.FieldKeyLevel: "Level", logrus.FieldKeyMsg: "Message",
-		},
-	})
-	return log, nil
+	return logs.New(l, to), nil
 }
