--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -29,6 +29,9 @@
 	oldFor clock.Millis = 400
 	// failedPause is the pause of an item after a failure.
 	failedPause clock.Millis = 50
+	// keepClosed is how long the content of a job that lists nothing more is kept
+	// in memory; later it is read from the store.
+	keepClosed clock.Millis = 120 * clock.Second
 	// freeBreaks is how many runs may break without an event before the item
 	// waits ever longer: it may be what crashes its targets.
 	freeBreaks = 2
@@ -97,6 +100,8 @@
 	// Ending is set from the request for the end, Ended once that is stored.
 	Ending, Ended bool
 	EndCalls      []op.CallID
+	// ClosedAt is when nothing more was left to list, 0 before.
+	ClosedAt clock.Millis
 }
 
 // State is the jobs that this instance owns. Self must be set.
@@ -156,6 +161,7 @@
 
 // Advance gives up what is too late, starts items and appends chunks.
 func (s *State) Advance(now clock.Millis, v View, out *op.List) {
+	s.dropClosed(now, v, out)
 	jobs := s.byDue()
 	for _, j := range jobs {
 		s.giveUp(now, j, v, out)
@@ -175,6 +181,20 @@
 	}
 }
 
+// dropClosed lets jobs go that have listed everything long ago.
+func (s *State) dropClosed(now clock.Millis, v View, out *op.List) {
+	for _, id := range slices.Sorted(maps.Keys(s.Jobs)) {
+		j := s.Jobs[id]
+		switch {
+		case !j.Closed():
+		case j.ClosedAt == 0:
+			j.ClosedAt = now
+		case now >= j.ClosedAt+keepClosed:
+			s.release(j, v, out)
+		}
+	}
+}
+
 func (s *State) byDue() []*Job {
 	jobs := make([]*Job, 0, len(s.Jobs))
 	for _, id := range slices.Sorted(maps.Keys(s.Jobs)) {
--- a/internal/batch/batch_test.go
+++ b/internal/batch/batch_test.go
@@ -256,6 +256,24 @@
 	}
 }
 
+func TestClosedJobsLeaveTheMemory(t *testing.T) {
+	b := newBench(target("t", 9, 1))
+	b.take(1, op.ItemShape{})
+	b.end(0, op.ItemWhole, 3)
+	b.now = 1000
+	b.apply(op.Appended{Job: "j", Chunk: 0, Result: op.Done, Other: op.ChunkShape{Items: []int{0}, Owner: "a", Epoch: 1}})
+	b.now += keepClosed - 1
+	b.apply(op.Tick{})
+	if len(b.state.Jobs) != 1 {
+		t.Fatal("dropped too early")
+	}
+	b.now++
+	b.apply(op.Tick{})
+	if len(b.state.Jobs) != 0 {
+		t.Error("kept forever")
+	}
+}
+
 func BenchmarkAdvance(b *testing.B) {
 	w := newBench(target("t", 16, 1), target("u", 16, 1))
 	items := make([]op.ItemShape, 256)
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -69,16 +69,24 @@
 
 // Renewed notes that a lease stood at a revision, as its holder said.
 func (s *State) Renewed(now clock.Millis, scope unit.Scope, rev unit.Revision) {
-	s.Want(scope, s.Leases[scope] != nil && s.Leases[scope].Wanted)
-	if s.Leases[scope] == nil {
-		s.Want(scope, true)
-		s.Want(scope, false)
-	}
-	if l := s.Leases[scope]; rev > l.ToldRevision {
+	if l := s.lease(scope); rev > l.ToldRevision {
 		l.ToldRevision, l.ToldAt = rev, now
 	}
 }
 
+// lease returns a lease, which is unknown at first.
+func (s *State) lease(scope unit.Scope) *Lease {
+	if s.Leases == nil {
+		s.Leases = make(map[unit.Scope]*Lease)
+	}
+	l := s.Leases[scope]
+	if l == nil {
+		l = &Lease{}
+		s.Leases[scope] = l
+	}
+	return l
+}
+
 func instanceOf(i unit.Incarnation) unit.Instance {
 	name, _, _ := strings.Cut(string(i), "#")
 	return unit.Instance(name)
@@ -108,18 +116,10 @@
 
 // Want makes this instance stand for a lease, or give it up.
 func (s *State) Want(scope unit.Scope, wanted bool) {
-	l := s.Leases[scope]
-	if l == nil {
-		if !wanted {
-			return
-		}
-		if s.Leases == nil {
-			s.Leases = make(map[unit.Scope]*Lease)
-		}
-		l = &Lease{}
-		s.Leases[scope] = l
+	if s.Leases[scope] == nil && !wanted {
+		return
 	}
-	l.Wanted = wanted
+	s.lease(scope).Wanted = wanted
 }
 
 // Holds returns the fencing number and the end of a lease held now.
--- /dev/null
+++ b/internal/logs/logs_test.go
@@ -0,0 +1,56 @@
+package logs
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+)
+
+// stuck is a writer that takes nothing until it is let go.
+type stuck struct {
+	free chan struct{}
+	bytes.Buffer
+}
+
+func (s *stuck) Write(b []byte) (int, error) {
+	<-s.free
+	return s.Buffer.Write(b)
+}
+
+func TestAFullBufferDropsAndCounts(t *testing.T) {
+	out := &stuck{free: make(chan struct{})}
+	ctx, cancel := context.WithCancel(context.Background())
+	s := NewSink(ctx, out)
+	const lines = bufferLines + 100
+	for range lines {
+		if _, err := s.Write([]byte("x\n")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := s.Dropped(); n < 90 || n > 100 {
+		t.Errorf("%d lines dropped", n)
+	}
+	close(out.free)
+	cancel()
+	if err := s.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	if got := int64(bytes.Count(out.Bytes(), []byte("\n"))); got != lines-s.Dropped() {
+		t.Errorf("%d lines written, %d dropped", got, s.Dropped())
+	}
+}
+
+func TestLinesAreJSON(t *testing.T) {
+	var out bytes.Buffer
+	New(logrus.InfoLevel, &out).WithField("Request", "r1").Info("attempt ended")
+	var line map[string]string
+	if err := json.Unmarshal(out.Bytes(), &line); err != nil {
+		t.Fatal(err)
+	}
+	if line["Message"] != "attempt ended" || line["Request"] != "r1" || line["Level"] != "info" || line["Time"] == "" {
+		t.Errorf("got %v", line)
+	}
+}
