--- a/internal/cli/hosted.go
+++ b/internal/cli/hosted.go
@@ -57,6 +57,9 @@
 type hostedFlags struct {
 	logLevel string
 	metrics  string
+	// advertise is the host:port that peers use; empty means the address that
+	// the instance listens on.
+	advertise string
 }
 
 func (g *program) hostedCommand(name, help string, run func(context.Context, hostedFlags, io.Writer) error) command {
@@ -66,6 +69,7 @@
 		flags: func(s *flaggy.Subcommand) {
 			s.String(&f.logLevel, "", "log-level", "debug, info, warning or error")
 			s.String(&f.metrics, "", "metrics", "host:port for metrics and dumps")
+			s.String(&f.advertise, "", "advertise", "host:port that peers use, if it is not the one listened on")
 		},
 		run: func(ctx context.Context) error { return run(ctx, f, g.out) },
 	}
@@ -86,6 +90,12 @@
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
+	if f.advertise != "" {
+		if _, _, err := net.SplitHostPort(f.advertise); err != nil {
+			return &usageError{fmt.Sprintf("--advertise: want host:port: %s", err)}
+		}
+	}
+	site.Advertise = f.advertise
 	if site.Memory > 0 {
 		debug.SetMemoryLimit(int64(float64(site.Memory) * memoryPart))
 		debug.SetGCPercent(heapGrowth)
@@ -124,6 +134,7 @@
 				log.WithField("Error", err.Error()).Warn("settings file is not readable; what was read at the start holds")
 				continue
 			}
+			now.Advertise = site.Advertise
 			log.WithField("Changed", now != site).Info("settings read again; changes hold from the next start")
 		case <-ctx.Done():
 			return
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -384,6 +384,9 @@
 
 // PeerAddress is where peers reach this instance.
 func (s *State) PeerAddress() string {
+	if s.Site.Advertise != "" {
+		return s.Site.Advertise
+	}
 	return net.JoinHostPort(s.Site.IP, strconv.Itoa(s.Site.PeerPort))
 }
 
--- a/pkg/platform/hosted.go
+++ b/pkg/platform/hosted.go
@@ -31,6 +31,8 @@
 	Front, Ready string
 	// PeerPort is the port for traffic between instances.
 	PeerPort int
+	// Advertise is the host:port that peers use; empty means IP and PeerPort.
+	Advertise string
 	// Store and Cloud are the host:port of the platform's services.
 	Store, Cloud string
 	// Disk is the folder for data, empty without a disk.
