beat, edge: heartbeats that a large fleet can afford

Change: what peers told is added up once a tick; jobs of a peer are gone through only if its list changed; heartbeats are CBOR, counts come with each second one, and above 40 peers the pace grows, which each heartbeat tells, so that its receivers know which silence is a death. Routes are found by name in a map.

--- a/internal/beat/beat_test.go
+++ b/internal/beat/beat_test.go
@@ -13,7 +13,14 @@
 	if b.Incarnation == "" {
 		b.Incarnation = unit.Incarnation(string(b.Instance) + "#1")
 	}
-	return s.Heard(now, 0, b, nil)
+	return s.Heard(now, 0, b, owns(nil))
+}
+
+func owns(epochs map[string]unit.Epoch) func(string) (unit.Epoch, bool) {
+	return func(job string) (unit.Epoch, bool) {
+		e, ok := epochs[job]
+		return e, ok
+	}
 }
 
 func takeovers(s *State, now clock.Millis) []op.TakeOver {
@@ -94,11 +101,11 @@
 func TestAHigherClaimWins(t *testing.T) {
 	s := &State{Self: "a"}
 	b := op.Beat{Instance: "b", Incarnation: "b#1", Seq: 1, Jobs: []op.JobNote{{ID: "j", Epoch: 3}}}
-	if lost := s.Heard(0, 0, b, map[string]unit.Epoch{"j": 2}); len(lost) != 1 {
+	if lost := s.Heard(0, 0, b, owns(map[string]unit.Epoch{"j": 2})); len(lost) != 1 {
 		t.Errorf("lost %v", lost)
 	}
 	b.Seq++
-	if lost := s.Heard(0, 0, b, map[string]unit.Epoch{"j": 4}); len(lost) != 0 {
+	if lost := s.Heard(0, 0, b, owns(map[string]unit.Epoch{"j": 4})); len(lost) != 0 {
 		t.Errorf("lost %v to a lower claim", lost)
 	}
 }
@@ -166,3 +173,37 @@
 		})
 	}
 }
+
+func TestLargeFleetsSendFewerHeartbeats(t *testing.T) {
+	tests := map[string]struct {
+		peers int
+		want  clock.Millis
+	}{
+		"small":      {11, shortestPace},
+		"large":      {65, 2 * shortestPace},
+		"very large": {299, 3 * shortestPace},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := &State{Self: "a"}
+			for i := range tt.peers {
+				hear(s, 0, op.Beat{Instance: unit.Instance(fmt.Sprint("b", i)), Seq: 1})
+			}
+			if got := s.Pace(); got != tt.want {
+				t.Errorf("pace %d, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
+func TestAPeerIsDeadAfterTheSilenceThatItsPaceAllows(t *testing.T) {
+	s := &State{Self: "a"}
+	hear(s, 0, op.Beat{Instance: "quick", Seq: 1, Next: shortestPace})
+	hear(s, 0, op.Beat{Instance: "slow", Seq: 1, Next: 2 * shortestPace})
+	if s.Live(DeadAfter, "quick") || !s.Live(DeadAfter, "slow") {
+		t.Error("a pause within a peer's pace was taken for its death, or none was")
+	}
+	if s.Live(missedBeats*2*shortestPace+beatWay, "slow") {
+		t.Error("a silent peer lives on")
+	}
+}
--- /dev/null
+++ b/internal/edge/beat_test.go
@@ -0,0 +1,94 @@
+package edge
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/catkinhead/catkinhead/internal/op"
+	"github.com/catkinhead/catkinhead/pkg/clock"
+	"github.com/catkinhead/catkinhead/pkg/platform"
+	"github.com/catkinhead/catkinhead/pkg/unit"
+)
+
+// crowd returns the state of an instance among others, and their heartbeats.
+func crowd(others, targets int) (*State, []op.Beat) {
+	site := platform.Site{Instance: "self", DataCentre: "north", IP: "127.0.0.1", PeerPort: 1}
+	s := NewState(site, "self#1", 1)
+	var entries []platform.TargetEntry
+	for i := range targets {
+		entries = append(entries, platform.TargetEntry{
+			Target: unit.Target(fmt.Sprintf("i-%06d", i)), Pool: "p", Address: fmt.Sprintf("10.0.0.%d:80", i), Slots: 8,
+		})
+	}
+	s.Reduce(1, op.TargetsListed{Entries: entries})
+	var beats []op.Beat
+	for i := range others {
+		id := unit.Instance(fmt.Sprintf("edge-%03d", i))
+		b := op.Beat{
+			Instance: id, Incarnation: unit.Incarnation(id) + "#00001769000000000000", Seq: 1, Address: fmt.Sprintf("10.1.0.%d:7000", i),
+			DataCentre: "north", Wall: 1769000000000, Uptime: 9000,
+			Running: map[unit.Target]int{entries[i%targets].Target: 3, entries[(i+7)%targets].Target: 2},
+		}
+		counts := op.SourceCounts{Source: b.Incarnation}
+		for w := range 4 {
+			counts.Counts = append(counts.Counts, op.WindowCount{Window: unit.Window(353445120 + i%2), Workspace: unit.Workspace(fmt.Sprintf("w%d", w)), Count: 12})
+		}
+		b.Counts = []op.SourceCounts{counts}
+		if i%7 == 0 {
+			b.Jobs = []op.JobNote{{ID: fmt.Sprintf("7c41e09b52d6%04d", i), Epoch: 1}, {ID: fmt.Sprintf("8c41e09b52d6%04d", i), Epoch: 1, Closed: true}}
+			b.Demands = []op.Demand{{Model: "m", Newest: 3, Waiting: 4, MinWaiting: 3}}
+		}
+		beats = append(beats, b)
+	}
+	return s, beats
+}
+
+func BenchmarkBeatHeard(b *testing.B) {
+	s, beats := crowd(70, 45)
+	now := clock.Millis(100)
+	for i := 0; b.Loop(); i++ {
+		beat := beats[i%len(beats)]
+		beat.Seq = int64(i + 2)
+		now += 3
+		s.Reduce(now, op.BeatHeard{Beat: beat})
+	}
+}
+
+func BenchmarkBeatDecoded(b *testing.B) {
+	_, beats := crowd(70, 45)
+	raw, err := cbor.Marshal(beats[0])
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportMetric(float64(len(raw)), "bytes")
+	for b.Loop() {
+		var beat op.Beat
+		if err := cbor.Unmarshal(raw, &beat); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkTick(b *testing.B) {
+	s, beats := crowd(70, 45)
+	for _, beat := range beats {
+		s.Reduce(100, op.BeatHeard{Beat: beat})
+	}
+	for i := 0; b.Loop(); i++ {
+		s.beatAt = 1 << 40
+		s.Reduce(100, op.Tick{Wall: 1769000000000})
+	}
+}
+
+func BenchmarkBeatsSent(b *testing.B) {
+	s, beats := crowd(70, 45)
+	for _, beat := range beats {
+		s.Reduce(100, op.BeatHeard{Beat: beat})
+	}
+	for b.Loop() {
+		var out op.List
+		s.sendBeats(100, &out)
+	}
+}
--- a/internal/edge/feeds.go
+++ b/internal/edge/feeds.go
@@ -19,9 +19,12 @@
 	// watch, so a silent connection must be found well within the 2 s in which
 	// a change is to be acted on.
 	sharedWait = 800 * time.Millisecond
-	// confirmWait is how long the watch after a change waits: a watch that ends
-	// early confirms only what was so when it began.
-	confirmWait = 200 * time.Millisecond
+	// confirmSlack is kept of the age up to which a watcher answers: a watch that
+	// ends early confirms only what was so when it began, so the next one waits
+	// for what is left of that age.
+	confirmSlack clock.Millis = 150
+	// leastConfirm is the least wait of a watch.
+	leastConfirm clock.Millis = 200
 	// mirrorWait is how long a call to a watcher waits, mirrorSlack how much
 	// longer it may take.
 	mirrorWait  = 400 * time.Millisecond
@@ -32,7 +35,7 @@
 	asideFor = 3 * clock.Second
 	// gather is the pause after changes of targets, which come in groups: each
 	// call to the store is paid for.
-	gather = 150 * time.Millisecond
+	gather = 250 * time.Millisecond
 	// feedPause is the pause after a failed call; it doubles up to feedPauseMost.
 	feedPause     = 100 * time.Millisecond
 	feedPauseMost = 400 * time.Millisecond
@@ -54,8 +57,8 @@
 	// shared.
 	mirror *mirror
 	lost   bool
-	// confirming is set if the last watch brought changes.
-	confirming bool
+	// confirmedAt is up to when all changes are known.
+	confirmedAt clock.Millis
 	// aside is until when the store is asked although there is a watcher.
 	aside clock.Millis
 }
@@ -137,8 +140,8 @@
 		return next, nil
 	}
 	wait := f.wait
-	if f.confirming && f.mirror != nil {
-		wait = confirmWait
+	if f.mirror != nil {
+		wait = min(wait, waitAfter(asked-f.confirmedAt).Duration())
 	}
 	changes, next, err := f.p.out.Store.Follow(ctx, f.kind, rev, wait)
 	if err != nil {
@@ -150,7 +153,6 @@
 	if f.mirror != nil {
 		f.mirror.followed(changes, next)
 	}
-	f.confirming = len(changes) > 0
 	if wait := clock.Of(wait); len(changes) == 0 && f.p.clock.Now()-asked >= wait {
 		// The store looked for changes until the end of the wait.
 		asked += wait
@@ -162,6 +164,12 @@
 	return max(next, rev), nil
 }
 
+// waitAfter returns how long a watch may wait so that what is known does not
+// grow too old meanwhile, given its age.
+func waitAfter(age clock.Millis) clock.Millis {
+	return max(mirrorAge-confirmSlack-age, leastConfirm)
+}
+
 // sleep waits, or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	select {
@@ -171,6 +179,7 @@
 }
 
 func (f *feed) confirm(asked clock.Millis) {
+	f.confirmedAt = max(f.confirmedAt, asked)
 	if f.mirror != nil {
 		f.mirror.confirm(asked)
 	}
--- a/internal/edge/mirror_test.go
+++ b/internal/edge/mirror_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"testing"
 
+	"github.com/catkinhead/catkinhead/pkg/clock"
 	"github.com/catkinhead/catkinhead/pkg/platform"
 	"github.com/catkinhead/catkinhead/pkg/unit"
 )
@@ -84,3 +85,14 @@
 		t.Error("not woken")
 	}
 }
+
+func TestWatchesKeepWhatIsShownYoung(t *testing.T) {
+	for _, age := range []clock.Millis{0, 300, 700, 1000} {
+		if wait := waitAfter(age); age+wait > mirrorAge-confirmSlack {
+			t.Errorf("knowledge of age %d grows to %d", age, age+wait)
+		}
+	}
+	if wait := waitAfter(2 * mirrorAge); wait != leastConfirm {
+		t.Errorf("waits %d", wait)
+	}
+}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -9,11 +9,13 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"net/url"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/gin-gonic/gin"
 	"github.com/sirupsen/logrus"
 
@@ -54,26 +56,26 @@
 func (x *peers) close() { x.beats.Close() }
 
 func (p *Process) sendBeats(e op.SendBeats) {
-	b, err := json.Marshal(e.Beat)
+	b, err := cbor.Marshal(e.Beat)
 	if err != nil {
 		p.log.WithField("Error", err.Error()).Error("heartbeat not encoded")
 		return
 	}
 	for _, address := range e.Addresses {
-		to, err := net.ResolveUDPAddr("udp", address)
+		to, err := netip.ParseAddrPort(address)
 		if err != nil {
 			p.log.WithFields(logrus.Fields{"Address": address, "Error": err.Error()}).Warn("peer has no usable address")
 			continue
 		}
 		// A datagram may be lost in any case; the next one follows soon.
-		_, _ = p.peers.beats.WriteToUDP(b, to)
+		_, _ = p.peers.beats.WriteToUDPAddrPort(b, to)
 	}
 }
 
 func (p *Process) receiveBeats(ctx context.Context) {
 	buf := make([]byte, beatBytes)
 	for ctx.Err() == nil {
-		n, _, err := p.peers.beats.ReadFromUDP(buf)
+		n, _, err := p.peers.beats.ReadFromUDPAddrPort(buf)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -81,7 +83,7 @@
 			continue
 		}
 		var b op.Beat
-		if err := json.Unmarshal(buf[:n], &b); err != nil || b.Instance == "" {
+		if err := cbor.Unmarshal(buf[:n], &b); err != nil || b.Instance == "" {
 			p.log.WithField("Bytes", n).Warn("datagram is no heartbeat")
 			continue
 		}
@@ -111,14 +113,15 @@
 	}
 }
 
-// instanceLists are the pauses between readings of the instances. All start at
-// about the same time; those that come later tell the others themselves.
+// instanceLists are the pauses between readings of the instances, which may be
+// seconds old. All start at about the same time; those that come later tell the
+// others themselves.
 var instanceLists = []time.Duration{
 	400 * time.Millisecond, 1500 * time.Millisecond, 4 * time.Second, time.Minute,
 }
 
 func (p *Process) listInstances(ctx context.Context) {
-	objects, _, err := p.out.Store.ListKind(ctx, instancesKind)
+	objects, _, err := p.out.Store.ListStale(ctx, instancesKind)
 	if err != nil {
 		p.log.WithField("Error", err.Error()).Warn("instances not listed")
 		return
@@ -151,12 +154,9 @@
 	if err != nil {
 		return fmt.Errorf("encode record: %w", err)
 	}
-	o, err := p.out.Store.Get(ctx, key)
-	switch {
-	case errors.Is(err, platform.ErrNotFound):
-		_, err = p.out.Store.Put(ctx, key, value, 0)
-	case err == nil && !bytes.Equal(bytes.TrimSpace(o.Value), value):
-		_, err = p.out.Store.Put(ctx, key, value, o.Revision)
+	_, err = p.out.Store.Put(ctx, key, value, 0)
+	if errors.Is(err, platform.ErrConflict) {
+		err = p.registerAgain(ctx, key, value)
 	}
 	if err != nil {
 		return fmt.Errorf("register: %w", err)
@@ -164,6 +164,16 @@
 	return nil
 }
 
+// registerAgain replaces the record of an earlier start, if it differs.
+func (p *Process) registerAgain(ctx context.Context, key string, value []byte) error {
+	o, err := p.out.Store.Get(ctx, key)
+	if err != nil || bytes.Equal(bytes.TrimSpace(o.Value), value) {
+		return err
+	}
+	_, err = p.out.Store.Put(ctx, key, value, o.Revision)
+	return err
+}
+
 // askOwner passes a call about a job on to its owner. An answer of status 0
 // means that no owner could answer.
 func (p *Process) askOwner(ctx context.Context, w unit.Workspace, call platform.BatchRequest, wait clock.Millis) batchAnswer {
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"maps"
 	"net"
 	"slices"
 	"strconv"
@@ -30,6 +31,11 @@
 	// standAfter is how long an instance waits for a holder's heartbeat before
 	// it stands for the lease.
 	standAfter clock.Millis = 600
+	// sumEvery is how often the peers are summed up though none was heard.
+	sumEvery clock.Millis = 250
+	// countsEvery is the least time between heartbeats that tell counts, which
+	// are long: well within the time that a window is given to settle.
+	countsEvery clock.Millis = 500
 )
 
 // leaseTimes lets a successor act within a few seconds, since trainers wait for
@@ -64,6 +70,16 @@
 	wasHolder      bool
 	// waited is whether the last heartbeat told of waiting items.
 	waited bool
+	// peersChanged is set by each heartbeat until the peers are summed up again,
+	// at sumAt at the latest: peers fall silent without an event.
+	peersChanged bool
+	sumAt        clock.Millis
+	// crashes are what the live peers hold against contents; wallOffset is how
+	// far the median of the fleet's clocks is ahead of this instance's.
+	crashes    map[unit.Fingerprint]int
+	wallOffset clock.Millis
+	// countsAt is when the counts are told next.
+	countsAt clock.Millis
 }
 
 // NewState returns the state of an instance at its start.
@@ -127,7 +143,9 @@
 	case op.BeatHeard:
 		s.heard(now, e.Beat, &out)
 	case op.PeersListed:
-		s.peersListed(e)
+		if s.Beats.Listed(e.Peers) {
+			s.beatAt = now
+		}
 	case op.Paces:
 		for _, id := range s.Roster.Paces(now, e.Millis) {
 			out.Add(op.Note{Level: "info", Message: "target is slow", Fields: map[string]string{
@@ -150,6 +168,7 @@
 func (s *State) tick(now clock.Millis, e op.Tick, out *op.List) {
 	s.WallAt, s.TickAt = e.Wall, now
 	s.Roster.Tick(now)
+	s.sumUp(now)
 	s.standForDuties(now)
 	s.Leases.Reduce(now, e, out)
 	s.noteJobs()
@@ -234,12 +253,7 @@
 	if s.WallAt == 0 {
 		return 0
 	}
-	offsets := []clock.Millis{0}
-	for _, p := range s.Beats.LivePeers(now) {
-		offsets = append(offsets, p.WallOffset)
-	}
-	slices.Sort(offsets)
-	return s.ownWall(now) + offsets[(len(offsets)-1)/2]
+	return s.ownWall(now) + s.wallOffset
 }
 
 // ownWall is the Unix time of this instance's own clock.
@@ -248,7 +262,7 @@
 func (s *State) forwardView(now clock.Millis) forward.View {
 	return forward.View{
 		Roster: &s.Roster, Table: s.Table, Fresh: s.Fresh(now), Age: s.Age(now), Tally: &s.Tally,
-		Wall: s.Wall(now), Crashes: s.crashes(now),
+		Wall: s.Wall(now), Crashes: s.crashes,
 	}
 }
 
@@ -275,99 +289,98 @@
 
 // noteJobs tells the peers' part which jobs this instance owns.
 func (s *State) noteJobs() {
-	for id, j := range s.Batch.Jobs {
-		s.Beats.Note(id, s.Site.Instance, j.Epoch, j.Closed())
+	for _, j := range s.Batch.Jobs {
+		s.Beats.Note(noteOf(j), s.Site.Instance)
 	}
 }
 
+func noteOf(j *batch.Job) op.JobNote {
+	return op.JobNote{ID: j.ID, Epoch: j.Epoch, Closed: j.Closed(), Series: j.Series}
+}
+
 func (s *State) heard(now clock.Millis, b op.Beat, out *op.List) {
 	s.Leases.Heard(now, b.Incarnation)
 	if b.Lease > 0 {
 		s.Leases.Renewed(now, Duties, b.Lease)
 	}
-	own := make(map[string]unit.Epoch, len(s.Batch.Jobs))
-	for id, j := range s.Batch.Jobs {
-		own[id] = j.Epoch
-	}
-	for _, id := range s.Beats.Heard(now, s.ownWall(now), b, own) {
+	for _, id := range s.Beats.Heard(now, s.ownWall(now), b, s.epochOf) {
 		out.Add(op.Note{Level: "info", Message: "job dropped for another owner", Fields: map[string]string{
 			"Job": id, "Owner": string(b.Instance),
 		}})
+		epoch, _ := s.epochOf(id)
 		s.Batch.Reduce(now, op.JobDropped{Job: id}, s.batchView(), out)
-		out.Add(op.ForgetJob{Job: id, Epoch: own[id]})
+		out.Add(op.ForgetJob{Job: id, Epoch: epoch})
 	}
-	s.sumRunning(now)
+	s.peersChanged = true
 	if len(b.Counts) > 0 {
 		s.Tally.Reduce(now, op.CountsHeard{Counts: b.Counts}, s.tallyView(now), out)
 	}
 }
 
-// liveSources are the incarnations that tell their counts themselves.
-func (s *State) liveSources(now clock.Millis) map[unit.Incarnation]bool {
-	live := make(map[unit.Incarnation]bool)
-	for _, p := range s.Beats.LivePeers(now) {
-		live[p.Incarnation] = true
+// epochOf returns the epoch under which this instance owns a job.
+func (s *State) epochOf(job string) (unit.Epoch, bool) {
+	j := s.Batch.Jobs[job]
+	if j == nil {
+		return 0, false
 	}
-	return live
+	return j.Epoch, true
 }
 
-// crashes adds up what the live peers hold against contents.
-func (s *State) crashes(now clock.Millis) map[unit.Fingerprint]int {
-	sum := make(map[unit.Fingerprint]int)
-	for _, p := range s.Beats.LivePeers(now) {
-		for f, n := range p.Crashes {
-			sum[f] += n
-		}
+// sumUp adds up what the live peers told. It is done once a tick, since it
+// takes a look at each peer.
+func (s *State) sumUp(now clock.Millis) {
+	if !s.peersChanged && now < s.sumAt {
+		return
 	}
-	return sum
-}
-
-// sumRunning adds up what the live peers have at each target.
-func (s *State) sumRunning(now clock.Millis) {
-	sum := make(map[unit.Target]int)
-	for _, p := range s.Beats.LivePeers(now) {
+	s.peersChanged, s.sumAt = false, now+sumEvery
+	live := s.Beats.LivePeers(now)
+	running := make(map[unit.Target]int)
+	s.crashes = make(map[unit.Fingerprint]int)
+	offsets := make([]clock.Millis, 1, len(live)+1)
+	for _, p := range live {
 		for id, n := range p.Running {
-			sum[id] += n
+			running[id] += n
+		}
+		for f, n := range p.Crashes {
+			s.crashes[f] += n
 		}
+		offsets = append(offsets, p.WallOffset)
 	}
-	s.Roster.Elsewhere(sum)
+	s.Roster.Elsewhere(running)
+	slices.Sort(offsets)
+	s.wallOffset = offsets[(len(offsets)-1)/2]
 }
 
-// peersListed adds instances that were not heard yet, so that they are sent
-// heartbeats.
-func (s *State) peersListed(e op.PeersListed) {
-	for id, address := range e.Peers {
-		if id == s.Site.Instance {
-			continue
-		}
-		if s.Beats.Peers == nil {
-			s.Beats.Peers = make(map[unit.Instance]*beat.Peer)
-		}
-		if p := s.Beats.Peers[id]; p == nil {
-			s.Beats.Peers[id] = &beat.Peer{Beat: op.Beat{Instance: id, Address: address}, HeardAt: -beat.DeadAfter}
-		} else if p.Address != address {
-			p.Address = address
-		}
+// liveSources are the incarnations that tell their counts themselves.
+func (s *State) liveSources(now clock.Millis) map[unit.Incarnation]bool {
+	live := make(map[unit.Incarnation]bool)
+	for _, p := range s.Beats.LivePeers(now) {
+		live[p.Incarnation] = true
 	}
+	return live
 }
 
 func (s *State) sendBeats(now clock.Millis, out *op.List) {
-	s.beatAt = now + beat.Every
+	pace := s.Beats.Pace()
+	s.beatAt = now + pace
 	s.seq++
 	_, _, held := s.Leases.Holds(Duties, now)
 	b := op.Beat{
 		Instance: s.Site.Instance, Incarnation: s.Self, Seq: s.seq, Address: s.PeerAddress(),
-		DataCentre: s.Site.DataCentre, Uptime: now - s.started, Wall: s.ownWall(now), Leaving: s.Draining, Holder: held,
-		Orphans: s.Beats.Orphans(), Counts: s.Tally.Told(s.liveSources(now)), Running: s.Roster.Own(), Demands: s.Batch.Demands(), Crashes: s.Forward.Crashes(now),
+		DataCentre: s.Site.DataCentre, Uptime: now - s.started, Next: pace, Wall: s.ownWall(now), Leaving: s.Draining, Holder: held,
+		Orphans: s.Beats.Orphans(), Running: s.Roster.Own(), Demands: s.Batch.Demands(), Crashes: s.Forward.Crashes(now),
 	}
 	if l := s.Leases.Leases[Duties]; held && l != nil {
 		b.Lease = l.Revision
 	}
-	for id, j := range s.Batch.Jobs {
-		if !j.Claimed {
-			continue
+	if now >= s.countsAt {
+		s.countsAt = now + countsEvery
+		b.Counts = s.Tally.Told(s.liveSources(now))
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.Batch.Jobs)) {
+		if j := s.Batch.Jobs[id]; j.Claimed {
+			b.Jobs = append(b.Jobs, noteOf(j))
 		}
-		b.Jobs = append(b.Jobs, op.JobNote{ID: id, Epoch: j.Epoch, Closed: j.Closed()})
 	}
 	e := op.SendBeats{Beat: b}
 	for _, p := range s.Beats.Peers {
--- a/internal/edge/store_test.go
+++ b/internal/edge/store_test.go
@@ -65,6 +65,10 @@
 	return 0, nil
 }
 
+func (m *memoryStore) ListStale(ctx context.Context, kind string) ([]platform.Object, unit.Revision, error) {
+	return m.ListKind(ctx, kind)
+}
+
 func (m *memoryStore) ListKind(context.Context, string) ([]platform.Object, unit.Revision, error) {
 	return nil, 0, nil
 }
--- a/internal/op/hosted_event.go
+++ b/internal/op/hosted_event.go
@@ -95,6 +95,7 @@
 	Pool       unit.Pool
 	MinVersion unit.Version
 	WantGroups int
+	Series     unit.Series
 	Items      []ItemShape
 	// Age is how long ago the job was submitted.
 	Age clock.Millis
@@ -117,6 +118,8 @@
 	Chunks []ChunkShape
 	// Saved holds the last kept event of items that are not listed.
 	Saved map[int]int64
+	// Whole are the items whose whole output an earlier job had.
+	Whole []int
 }
 
 // JobDropped says that another instance owns the job under a higher epoch.
@@ -192,6 +195,7 @@
 
 // SourceCounts are the counts of one incarnation.
 type SourceCounts struct {
+	_      struct{} `cbor:",toarray"`
 	Source unit.Incarnation
 	Counts []WindowCount
 }
@@ -201,6 +205,7 @@
 
 // WindowCount is the use of a workspace in a window as one source counted it.
 type WindowCount struct {
+	_         struct{} `cbor:",toarray"`
 	Window    unit.Window
 	Workspace unit.Workspace
 	Count     int64
@@ -228,6 +233,8 @@
 	Address    string
 	DataCentre unit.DataCentre
 	Uptime     clock.Millis
+	// Next is within what time the next heartbeat follows.
+	Next clock.Millis `json:",omitempty"`
 	// Wall is the instance's Unix time.
 	Wall    clock.Millis
 	Leaving bool
@@ -249,6 +256,7 @@
 
 // Demand is what the open jobs of a model wait for at one instance.
 type Demand struct {
+	_     struct{} `cbor:",toarray"`
 	Model unit.Model
 	// Newest is the oldest version that the newest job takes.
 	Newest unit.Version
@@ -260,9 +268,11 @@
 
 // JobNote is a job that an instance owns.
 type JobNote struct {
+	_      struct{} `cbor:",toarray"`
 	ID     string
 	Epoch  unit.Epoch
 	Closed bool
+	Series unit.Series
 }
 
 // BeatHeard brings a peer's heartbeat.
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -14,12 +14,17 @@
 	// Revision is the store's revision of the configuration.
 	Revision unit.Revision
 	byHost   map[string][]platform.RouteRule
+	byName   map[unit.Route]platform.RouteRule
 }
 
 // New indexes a configuration.
 func New(c platform.Configuration, rev unit.Revision) *Table {
-	t := &Table{Configuration: c, Revision: rev, byHost: make(map[string][]platform.RouteRule)}
+	t := &Table{
+		Configuration: c, Revision: rev,
+		byHost: make(map[string][]platform.RouteRule), byName: make(map[unit.Route]platform.RouteRule, len(c.Routes)),
+	}
 	for _, r := range c.Routes {
+		t.byName[r.Name] = r
 		host := strings.ToLower(r.Host)
 		t.byHost[host] = append(t.byHost[host], r)
 	}
@@ -46,12 +51,8 @@
 
 // Route returns the rule of a name.
 func (t *Table) Route(name unit.Route) (platform.RouteRule, bool) {
-	for _, r := range t.Routes {
-		if r.Name == name {
-			return r, true
-		}
-	}
-	return platform.RouteRule{}, false
+	r, ok := t.byName[name]
+	return r, ok
 }
 
 // Workspace returns the workspace of a key. Without workspaces in the
--- a/pkg/platform/hosted.go
+++ b/pkg/platform/hosted.go
@@ -176,6 +176,8 @@
 type Feed interface {
 	// ListKind returns all objects of a kind and the store's revision.
 	ListKind(ctx context.Context, kind string) ([]Object, unit.Revision, error)
+	// ListStale is ListKind at a lower price; what it returns may be seconds old.
+	ListStale(ctx context.Context, kind string) ([]Object, unit.Revision, error)
 	// Follow waits up to wait for changes after a revision. It returns
 	// ErrHistoryGone if they are no longer kept.
 	Follow(ctx context.Context, kind string, after unit.Revision, wait time.Duration) ([]Change, unit.Revision, error)
--- a/pkg/unit/unit.go
+++ b/pkg/unit/unit.go
@@ -103,3 +103,6 @@
 		return "Unknown"
 	}
 }
+
+// Series names the jobs that one trainer submits step after step; 0 is none.
+type Series uint64
