edge, batch: take the texts of items that come again from the job before

Cause: groups that were not whole at a step's end come again in a later job under the same ids and were made anew from the first event, although the trainer waits for them before all others. Change: jobs of one trainer (workspace, route, model) are a series, told in heartbeats. An instance that takes a job in asks the owners of the three newest jobs of its series for what they have of its items, for 150 ms at most; whole outputs are listed without a run, others go on from their last event, if no version under the job's lowest made any of it. Texts of an ended job are kept for 20 s.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -253,6 +253,11 @@
 	for i, last := range e.Saved {
 		j.Items[i].Last = last
 	}
+	for _, i := range e.Whole {
+		if j.Items[i].Phase == waiting {
+			j.Items[i].Phase = done
+		}
+	}
 	j.Claimed = j.Claimed || j.Ended
 }
 
--- a/internal/batch/batch_test.go
+++ b/internal/batch/batch_test.go
@@ -159,6 +159,20 @@
 	}
 }
 
+func TestItemsThatAnEarlierJobMadeAreListedWithoutARun(t *testing.T) {
+	b := newBench(target("t", 9, 1))
+	b.apply(op.JobTaken{
+		Shape: op.JobShape{ID: "j", Route: "r", Pool: "p", MinVersion: 1, Items: []op.ItemShape{{Model: "m"}, {Model: "m"}, {Model: "m"}}},
+		Epoch: 1, Whole: []int{1}, Saved: map[int]int64{2: 40},
+	})
+	if len(b.runs) != 2 || b.runs[0].Item != 0 || b.runs[1].Item != 2 || b.runs[1].After != 40 {
+		t.Errorf("started %+v", b.runs)
+	}
+	if c := b.chunk(); c == nil || len(c.Done) != 1 || c.Done[0] != 1 {
+		t.Errorf("wrote %+v", c)
+	}
+}
+
 func TestItemsAreGivenUpAfterTheirTime(t *testing.T) {
 	b := newBench(target("t", 1, 1))
 	b.take(1, op.ItemShape{}, op.ItemShape{})
--- a/internal/beat/beat_test.go
+++ b/internal/beat/beat_test.go
@@ -207,3 +207,28 @@
 		t.Error("a silent peer lives on")
 	}
 }
+
+func TestPredecessorsAreTheNewestOfTheSeries(t *testing.T) {
+	s := &State{Self: "a"}
+	note := func(seq int64, ids ...string) {
+		b := op.Beat{Instance: "b", Seq: seq, Address: "b:1"}
+		for _, id := range ids {
+			b.Jobs = append(b.Jobs, op.JobNote{ID: id, Epoch: 1, Closed: true, Series: 7})
+		}
+		hear(s, 0, b)
+	}
+	note(1, "1")
+	note(2, "1", "2")
+	note(3, "1", "2", "3")
+	s.Note(op.JobNote{ID: "4", Epoch: 1, Series: 7}, "a")
+	s.Note(op.JobNote{ID: "5", Epoch: 1, Series: 8}, "a")
+	s.Note(op.JobNote{ID: "6", Epoch: 1, Series: 7}, "a")
+	got := s.Predecessors(1, 7, "6")
+	want := []Predecessor{{Job: "4"}, {Job: "3", Address: "b:1"}, {Job: "2", Address: "b:1"}}
+	if fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+	if got := s.Predecessors(DeadAfter, 7, "6"); len(got) != 1 {
+		t.Errorf("%v, although their owner is dead", got)
+	}
+}
--- a/internal/edge/content.go
+++ b/internal/edge/content.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"github.com/catkinhead/catkinhead/internal/op"
+	"github.com/catkinhead/catkinhead/pkg/clock"
 	"github.com/catkinhead/catkinhead/pkg/platform"
 	"github.com/catkinhead/catkinhead/pkg/unit"
 )
@@ -38,6 +39,9 @@
 	listed []bool
 	// changed is closed and replaced whenever results or ended change.
 	changed chan struct{}
+	// leftUntil is until when the texts of an ended job are kept, 0 before its
+	// end was noticed.
+	leftUntil clock.Millis
 }
 
 // text is the kept output of an item: whole events only. Only the run that
@@ -130,6 +134,23 @@
 	}
 }
 
+// dropLeft drops the texts of jobs that ended some time ago.
+func (c *Content) dropLeft(now clock.Millis) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, j := range c.jobs {
+		switch {
+		case !j.ended:
+		case j.leftUntil == 0:
+			j.leftUntil = now + leftFor
+		case now >= j.leftUntil:
+			for i := range j.texts {
+				j.texts[i].events = nil
+			}
+		}
+	}
+}
+
 // unsaved returns the jobs with events that are worth a write.
 func (c *Content) unsaved() []string {
 	c.mu.Lock()
@@ -175,11 +196,6 @@
 	for _, part := range chunk.Parts {
 		j.addPart(part)
 	}
-	if j.ended {
-		for i := range j.texts {
-			j.texts[i].events = nil
-		}
-	}
 	close(j.changed)
 	j.changed = make(chan struct{})
 	return shape, true
@@ -280,7 +296,7 @@
 func (j *jobContent) shape() op.JobShape {
 	s := op.JobShape{
 		ID: j.job.ID, Workspace: j.record.Workspace, Route: j.record.Route, Pool: j.record.Pool,
-		MinVersion: j.job.MinVersion, WantGroups: j.job.WantGroups,
+		MinVersion: j.job.MinVersion, WantGroups: j.job.WantGroups, Series: j.series(),
 	}
 	for _, it := range j.job.Items {
 		s.Items = append(s.Items, op.ItemShape{Group: it.Group, Model: it.Model, Tokens: it.Tokens, Expected: it.Expected})
--- /dev/null
+++ b/internal/edge/inherit.go
@@ -0,0 +1,210 @@
+package edge
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gin-gonic/gin"
+	"github.com/sirupsen/logrus"
+
+	"github.com/catkinhead/catkinhead/internal/beat"
+	"github.com/catkinhead/catkinhead/internal/op"
+	"github.com/catkinhead/catkinhead/pkg/clock"
+	"github.com/catkinhead/catkinhead/pkg/platform"
+	"github.com/catkinhead/catkinhead/pkg/unit"
+)
+
+const (
+	// inheritWithin bounds how long a new job waits for the texts of earlier
+	// ones: a part of the time in which its submission is to be answered.
+	inheritWithin = 150 * time.Millisecond
+	// leftFor is how long the texts of an ended job are kept for later jobs, which
+	// follow within some seconds.
+	leftFor = 20 * clock.Second
+	// inheritBytes bounds an answer with kept texts, in bytes.
+	inheritBytes = 8 << 20
+)
+
+// keptRequest asks the owner of an earlier job for what it has of items.
+type keptRequest struct {
+	Workspace unit.Workspace
+	Items     []string
+	// MinVersion is the oldest version that may have made a text.
+	MinVersion unit.Version
+}
+
+// keptText is what an earlier job has of an item: the whole output, or its
+// first events.
+type keptText struct {
+	ID       string
+	Whole    bool
+	Events   []string
+	Versions []unit.Version
+	Last     int64
+	Line     string
+}
+
+// series names the jobs that one trainer submits step after step; 0 for jobs
+// without a model.
+func (j *jobContent) series() unit.Series {
+	if j.job.Model == "" {
+		return 0
+	}
+	key := strings.Join([]string{string(j.record.Workspace), string(j.record.Route), string(j.job.Model)}, "\x00")
+	return unit.Series(xxhash.Sum64String(key))
+}
+
+// keptTexts returns what the job has of items, as far as no version older than
+// the least made any of it.
+func (j *jobContent) keptTexts(items []string, least unit.Version) []keptText {
+	results := make(map[string]platform.Result, len(j.results))
+	for _, r := range j.results {
+		results[r.ID] = r
+	}
+	var out []keptText
+	for _, id := range items {
+		i, ok := j.index[id]
+		if !ok {
+			continue
+		}
+		t := &j.texts[i]
+		kept := keptText{ID: id, Events: t.events, Versions: t.versions, Last: t.last, Line: t.line}
+		if r, ok := results[id]; ok {
+			kept = keptText{ID: id, Whole: !r.GivenUp, Events: []string{r.Text}, Versions: r.Versions}
+			if r.GivenUp {
+				continue
+			}
+		}
+		if len(kept.Events) > 0 && !older(kept.Versions, least) {
+			out = append(out, kept)
+		}
+	}
+	return out
+}
+
+func older(versions []unit.Version, least unit.Version) bool {
+	for _, v := range versions {
+		if v < least {
+			return true
+		}
+	}
+	return false
+}
+
+// inherit takes texts of earlier jobs. It returns the items that are whole.
+func (j *jobContent) inherit(texts []keptText) (whole []int) {
+	for _, kept := range texts {
+		i, ok := j.index[kept.ID]
+		if !ok || j.texts[i].run != 0 || len(j.texts[i].events) > 0 {
+			continue
+		}
+		j.texts[i] = text{events: kept.Events, versions: kept.Versions, last: kept.Last, line: kept.Line}
+		if kept.Whole {
+			j.texts[i].last = -1
+			whole = append(whole, i)
+		}
+	}
+	return whole
+}
+
+// takeNew makes this instance the owner of a job that it has just stored. Items
+// that earlier jobs of the series did not list in whole groups may come again:
+// what their owners still have of them need not be made again.
+func (p *Process) takeNew(ctx context.Context, c *jobContent) {
+	taken := op.JobTaken{Shape: c.shape(), Epoch: 1}
+	var from []beat.Predecessor
+	if c.series() != 0 {
+		p.ask(func(now clock.Millis, s *State) { from = s.Beats.Predecessors(now, c.series(), c.job.ID) })
+	}
+	if len(from) > 0 {
+		taken.Whole = p.inheritFrom(ctx, c, from)
+		taken.Saved = c.kept()
+	}
+	if p.content.put(c.job.ID, c) {
+		p.apply(taken)
+	}
+}
+
+func (p *Process) inheritFrom(ctx context.Context, c *jobContent, from []beat.Predecessor) (whole []int) {
+	ctx, cancel := context.WithTimeout(ctx, inheritWithin)
+	defer cancel()
+	ask := keptRequest{Workspace: c.record.Workspace, MinVersion: c.job.MinVersion}
+	for _, it := range c.job.Items {
+		ask.Items = append(ask.Items, it.ID)
+	}
+	for _, one := range from {
+		texts, err := p.keptAt(ctx, one, ask)
+		if err != nil {
+			p.log.WithFields(logrus.Fields{"Job": c.job.ID, "From": one.Job, "Owner": one.Address, "Error": err.Error()}).Info("texts of an earlier job not taken")
+			continue
+		}
+		if len(texts) == 0 {
+			continue
+		}
+		now := c.inherit(texts)
+		whole = append(whole, now...)
+		p.log.WithFields(logrus.Fields{
+			"Job": c.job.ID, "From": one.Job, "Texts": len(texts), "Whole": len(now), "MinVersion": ask.MinVersion,
+		}).Info("texts of an earlier job taken")
+	}
+	return whole
+}
+
+// keptAt asks the owner of an earlier job, or looks at home.
+func (p *Process) keptAt(ctx context.Context, from beat.Predecessor, ask keptRequest) ([]keptText, error) {
+	if from.Address == "" {
+		return p.keptHere(from.Job, ask), nil
+	}
+	body, err := json.Marshal(ask)
+	if err != nil {
+		return nil, fmt.Errorf("encode request: %w", err)
+	}
+	u := "http://" + from.Address + "/v1/jobs/" + url.PathEscape(from.Job) + "/kept"
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, u, bytes.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("make request: %w", err)
+	}
+	res, err := p.peers.http.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("ask owner: %w", err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("owner answered %d", res.StatusCode)
+	}
+	var texts []keptText
+	if err := json.NewDecoder(io.LimitReader(res.Body, inheritBytes)).Decode(&texts); err != nil {
+		return nil, fmt.Errorf("decode texts: %w", err)
+	}
+	return texts, nil
+}
+
+// keptHere returns what this instance has of items in an earlier job. Only what
+// is known to be the job's own text is told: a job that is not claimed yet may
+// list other results.
+func (p *Process) keptHere(job string, ask keptRequest) (texts []keptText) {
+	p.content.with(job, func(c *jobContent) {
+		if c.record.Workspace == ask.Workspace && (c.claimed || c.ended) {
+			texts = c.keptTexts(ask.Items, ask.MinVersion)
+		}
+	})
+	return texts
+}
+
+// servePeerKept answers a peer that took a later job in.
+func (p *Process) servePeerKept(c *gin.Context) {
+	var ask keptRequest
+	if err := json.NewDecoder(io.LimitReader(c.Request.Body, inheritBytes)).Decode(&ask); err != nil {
+		c.Status(http.StatusBadRequest)
+		return
+	}
+	c.JSON(http.StatusOK, p.keptHere(c.Param("job"), ask))
+}
--- a/internal/edge/jobs.go
+++ b/internal/edge/jobs.go
@@ -73,9 +73,7 @@
 	if created {
 		c := newJobContent(record, job)
 		c.epoch, c.claimed = 1, true
-		if f.p.content.put(job.ID, c) {
-			f.p.apply(op.JobTaken{Shape: c.shape(), Epoch: 1})
-		}
+		f.p.takeNew(f.r.Context(), c)
 	} else {
 		f.p.apply(op.JobSeen{Job: job.ID})
 	}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -223,6 +223,7 @@
 	g := gin.New()
 	g.Use(gin.Recovery())
 	g.POST("/v1/jobs/:job", p.servePeerJob)
+	g.POST("/v1/jobs/:job/kept", p.servePeerKept)
 	if p.relay == nil {
 		return g
 	}
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -124,6 +124,7 @@
 			if e := p.paces.take(); len(e.Millis) > 0 {
 				p.apply(e)
 			}
+			p.content.dropLeft(p.clock.Now())
 			for _, job := range p.content.unsaved() {
 				p.apply(op.JobProgress{Job: job})
 			}
