edge: hold an empty page back until there is a result

Change: the wait goes on for what is left of it. Test: TestAReaderWaitsForAResultAndNotForOtherWrites failed before ("answered 0 after a write without results").

--- a/internal/edge/jobs.go
+++ b/internal/edge/jobs.go
@@ -345,42 +345,44 @@
 	err    error
 }
 
-// localBatch answers from memory.
+// localBatch answers from memory. An empty page is held back until there is a
+// result, or the wait is over.
 func (p *Process) localBatch(ctx context.Context, w unit.Workspace, call platform.BatchRequest, wait clock.Millis) batchAnswer {
-	var a batchAnswer
-	var changed chan struct{}
-	found := p.content.with(call.Job, func(c *jobContent) {
+	until := p.clock.Now() + wait
+	for {
+		a, changed, hold := p.fromMemory(w, call)
+		if call.Call == platform.EndJob && a.status == http.StatusOK {
+			return p.endLocal(ctx, call.Job)
+		}
+		left := until - p.clock.Now()
+		if !hold || left <= 0 || ctx.Err() != nil {
+			return a
+		}
+		select {
+		case <-changed:
+		case <-time.After(left.Duration()):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// fromMemory answers from memory as it is now; status 0 is no answer. It also
+// returns a channel that is closed at the next change of the job, and whether
+// the answer is worth waiting for that.
+func (p *Process) fromMemory(w unit.Workspace, call platform.BatchRequest) (a batchAnswer, changed <-chan struct{}, hold bool) {
+	p.content.with(call.Job, func(c *jobContent) {
 		if !c.claimed && !c.ended {
 			return
 		}
-		a = p.answer(c, w, call)
-		changed = c.changed
-		wait = p.holdBack(c, call, wait)
+		a, changed = p.answer(c, w, call), c.changed
+		hold = a.status == http.StatusOK && mayFill(c, call)
 	})
-	if !found || a.status == 0 {
-		return batchAnswer{}
-	}
-	if call.Call == platform.EndJob && a.status == http.StatusOK {
-		return p.endLocal(ctx, call.Job)
-	}
-	if a.status != http.StatusOK || wait <= 0 {
-		return a
-	}
-	select {
-	case <-changed:
-	case <-time.After(wait.Duration()):
-	case <-ctx.Done():
-	}
-	return p.localBatch(ctx, w, call, 0)
+	return a, changed, hold
 }
 
-// holdBack returns how long a page is held back: only an empty one of a job
-// that may still list more.
-func (p *Process) holdBack(c *jobContent, call platform.BatchRequest, wait clock.Millis) clock.Millis {
-	if call.Call != platform.ReadResults || call.From < len(c.results) || c.ended || len(c.results) == len(c.job.Items) {
-		return 0
-	}
-	return wait
+// mayFill tells whether a page is empty now and may still be filled.
+func mayFill(c *jobContent, call platform.BatchRequest) bool {
+	return call.Call == platform.ReadResults && call.From >= len(c.results) && !c.ended && len(c.results) < len(c.job.Items)
 }
 
 // answer answers a call from a job's content.
--- a/internal/edge/store_test.go
+++ b/internal/edge/store_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -128,6 +129,36 @@
 	}
 }
 
+func TestAReaderWaitsForAResultAndNotForOtherWrites(t *testing.T) {
+	p := testProcess(&memoryStore{})
+	p.out.Ingress = lengthIngress{}
+	c := newJobContent(jobRecord{Workspace: "w"}, testItems(2))
+	c.claimed = true
+	p.content.put("j", c)
+	answers := make(chan batchAnswer, 1)
+	go func() {
+		answers <- p.localBatch(context.Background(), "w", platform.BatchRequest{Call: platform.ReadResults, Job: "j"}, 5000)
+	}()
+	time.Sleep(20 * time.Millisecond)
+	p.content.with("j", func(c *jobContent) { c.add(0, chunkRecord{Parts: []partRecord{{ID: "i0", Events: []string{"one"}}}}) })
+	select {
+	case a := <-answers:
+		t.Fatalf("answered %q after a write without results", a.body)
+	case <-time.After(50 * time.Millisecond):
+	}
+	p.content.with("j", func(c *jobContent) { c.add(1, chunkRecord{Results: []platform.Result{{ID: "i0", Text: "x"}}}) })
+	if a := <-answers; string(a.body) != "1" {
+		t.Errorf("answered %q", a.body)
+	}
+}
+
+// lengthIngress writes how many results a page has.
+type lengthIngress struct{ platform.Ingress }
+
+func (lengthIngress) Results(_, _ int, rs []platform.Result) ([]byte, error) {
+	return []byte(fmt.Sprint(len(rs))), nil
+}
+
 func TestARelayedCallThatBreaksOffIsNoSuccess(t *testing.T) {
 	broken := roundTripper(func(*http.Request) (*http.Response, error) { return nil, errors.New("reset") })
 	relay := NewRelay(clock.System{}, "127.0.0.1:1", broken)
