--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -227,8 +227,8 @@
 	if p.relay == nil {
 		return g
 	}
-	// The watches wait outside of the router as well. The relay stands outside of the router, whose recovery would turn a call
-	// that is broken off into an empty success.
+	// The relay and the watches stand outside of the router, whose recovery would
+	// turn a call that is broken off into an empty success.
 	mux := http.NewServeMux()
 	mux.Handle("/", g)
 	mux.Handle(relayPath, p.relay.Handler())
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -1,9 +1,6 @@
 package edge
 
 import (
-	"maps"
-	"net"
-	"slices"
 	"strconv"
 
 	"github.com/catkinhead/catkinhead/internal/batch"
@@ -307,122 +304,6 @@
 	return tally.View{Wall: s.Wall(now), Self: s.Site.Instance, Fence: fence, Until: until}
 }
 
-// noteJobs tells the peers' part which jobs this instance owns.
-func (s *State) noteJobs() {
-	for _, j := range s.Batch.Jobs {
-		s.Beats.Note(noteOf(j), s.Site.Instance)
-	}
-}
-
-func noteOf(j *batch.Job) op.JobNote {
-	return op.JobNote{ID: j.ID, Epoch: j.Epoch, Closed: j.Closed(), Series: j.Series}
-}
-
-func (s *State) heard(now clock.Millis, b op.Beat, out *op.List) {
-	s.Leases.Heard(now, b.Incarnation)
-	if b.Lease > 0 {
-		s.Leases.Renewed(now, Duties, b.Lease)
-	}
-	for _, id := range s.Beats.Heard(now, s.ownWall(now), b, s.epochOf) {
-		out.Add(op.Note{Level: "info", Message: "job dropped for another owner", Fields: map[string]string{
-			"Job": id, "Owner": string(b.Instance),
-		}})
-		epoch, _ := s.epochOf(id)
-		s.Batch.Reduce(now, op.JobDropped{Job: id}, s.batchView(), out)
-		out.Add(op.ForgetJob{Job: id, Epoch: epoch})
-	}
-	s.peersChanged = true
-	if len(b.Counts) > 0 {
-		s.Tally.Reduce(now, op.CountsHeard{Counts: b.Counts}, s.tallyView(now), out)
-	}
-}
-
-// epochOf returns the epoch under which this instance owns a job.
-func (s *State) epochOf(job string) (unit.Epoch, bool) {
-	j := s.Batch.Jobs[job]
-	if j == nil {
-		return 0, false
-	}
-	return j.Epoch, true
-}
-
-// sumUp adds up what the live peers told. It is done once a tick, since it
-// takes a look at each peer.
-func (s *State) sumUp(now clock.Millis) {
-	if !s.peersChanged && now < s.sumAt {
-		return
-	}
-	s.peersChanged, s.sumAt = false, now+sumEvery
-	live := s.Beats.LivePeers(now)
-	running := make(map[unit.Target]int)
-	s.crashes = make(map[unit.Fingerprint]int)
-	offsets := make([]clock.Millis, 1, len(live)+1)
-	for _, p := range live {
-		for id, n := range p.Running {
-			running[id] += n
-		}
-		for f, n := range p.Crashes {
-			s.crashes[f] += n
-		}
-		offsets = append(offsets, p.WallOffset)
-	}
-	s.Roster.Elsewhere(running)
-	slices.Sort(offsets)
-	s.wallOffset = offsets[(len(offsets)-1)/2]
-}
-
-// liveSources are the incarnations that tell their counts themselves.
-func (s *State) liveSources(now clock.Millis) map[unit.Incarnation]bool {
-	live := make(map[unit.Incarnation]bool)
-	for _, p := range s.Beats.LivePeers(now) {
-		live[p.Incarnation] = true
-	}
-	return live
-}
-
-func (s *State) sendBeats(now clock.Millis, out *op.List) {
-	pace := s.Beats.Pace()
-	s.beatAt = now + pace
-	s.seq++
-	_, _, held := s.Leases.Holds(Duties, now)
-	b := op.Beat{
-		Instance: s.Site.Instance, Incarnation: s.Self, Seq: s.seq, Address: s.PeerAddress(),
-		DataCentre: s.Site.DataCentre, Uptime: now - s.started, Next: pace, Wall: s.ownWall(now), Leaving: s.Draining, Holder: held,
-		Orphans: s.Beats.Orphans(), Running: s.Roster.Own(), Demands: s.Batch.Demands(), Crashes: s.Forward.Crashes(now),
-	}
-	if l := s.Leases.Leases[Duties]; held && l != nil {
-		b.Lease = l.Revision
-	}
-	if now >= s.countsAt {
-		s.countsAt = now + countsEvery
-		b.Counts = s.Tally.Told(s.liveSources(now))
-	}
-	for _, id := range slices.Sorted(maps.Keys(s.Batch.Jobs)) {
-		if j := s.Batch.Jobs[id]; j.Claimed {
-			b.Jobs = append(b.Jobs, noteOf(j))
-		}
-	}
-	e := op.SendBeats{Beat: b}
-	for _, p := range s.Beats.Peers {
-		e.Addresses = append(e.Addresses, p.Address)
-	}
-	out.Add(e)
-	s.waited = waits(b.Demands)
-}
-
-// waits tells whether any item waits for a target.
-func waits(ds []op.Demand) bool {
-	return slices.ContainsFunc(ds, func(d op.Demand) bool { return d.Waiting > 0 })
-}
-
-// PeerAddress is where peers reach this instance.
-func (s *State) PeerAddress() string {
-	if s.Site.Advertise != "" {
-		return s.Site.Advertise
-	}
-	return net.JoinHostPort(s.Site.IP, strconv.Itoa(s.Site.PeerPort))
-}
-
 func (s *State) drain(now clock.Millis, out *op.List) {
 	s.Draining = true
 	s.standForDuties(now)
