--- a/internal/edge/beat_test.go
+++ b/internal/edge/beat_test.go
@@ -45,6 +45,27 @@
 	return s, beats
 }
 
+// FuzzBeat takes datagrams from whoever sends them.
+func FuzzBeat(f *testing.F) {
+	_, beats := crowd(3, 3)
+	for _, b := range beats {
+		raw, err := cbor.Marshal(b)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(raw)
+	}
+	f.Fuzz(func(_ *testing.T, raw []byte) {
+		var b op.Beat
+		if cbor.Unmarshal(raw, &b) != nil {
+			return
+		}
+		s, _ := crowd(2, 2)
+		s.Reduce(100, op.BeatHeard{Beat: b})
+		s.Reduce(150, op.Tick{Wall: 1769000000000})
+	})
+}
+
 func BenchmarkBeatHeard(b *testing.B) {
 	s, beats := crowd(70, 45)
 	now := clock.Millis(100)
