heartbeat: forget this instance as the owner of a job that it has dropped

An owner that meets the chunk of a later owner drops the job, but the list of the fleet's jobs still named it as the owner. If the later owner had failed before its first heartbeat and this instance ranked first, no instance took the job over.

TestJobOfFailedLaterOwnerIsTakenOver was red before (no takeover until the end of the test) and is green.

--- a/internal/edge/heartbeats.go
+++ b/internal/edge/heartbeats.go
@@ -12,9 +12,10 @@
 	"github.com/catkinhead/catkinhead/pkg/unit"
 )
 
-// recordOwnedJobs enters the jobs that this instance owns into the list of the
-// fleet's jobs in Heartbeats.
-func (s *State) recordOwnedJobs() {
+// recordOwnedJobs brings the list of the fleet's jobs in Heartbeats in line with
+// the jobs that this instance owns.
+func (s *State) recordOwnedJobs(now clock.Millis) {
+	s.Heartbeats.ReleaseUnowned(now, func(job string) bool { return s.Batch.Jobs[job] != nil })
 	for _, j := range s.Batch.Jobs {
 		s.Heartbeats.UpdateJob(jobStatusOf(j), s.Environment.Instance)
 	}
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -146,12 +146,13 @@
 		s.Scaling.Reduce(now, ev, s.scalingView(now), &out)
 	case op.JobOwnershipGained:
 		s.Batch.Reduce(now, ev, s.batchView(), &out)
-		s.recordOwnedJobs()
+		s.recordOwnedJobs(now)
 		s.sendHeartbeats(now, &out)
 	case op.JobOwnershipLost, op.JobOutputUnsaved, op.ItemRunEnded, op.ChunkAppended, op.EndRequested:
 		owned := len(s.Batch.Jobs)
 		s.Batch.Reduce(now, ev, s.batchView(), &out)
 		if len(s.Batch.Jobs) < owned {
+			s.recordOwnedJobs(now)
 			// Tell the peers at once, so that one of them can take over a job that
 			// was given up.
 			s.sendHeartbeats(now, &out)
@@ -194,7 +195,7 @@
 	s.aggregatePeers(now)
 	s.updateCandidacy(now)
 	s.Leases.Reduce(now, e, out)
-	s.recordOwnedJobs()
+	s.recordOwnedJobs(now)
 	s.Heartbeats.Tick(now, s.Draining, out)
 	s.advance(now, out)
 	s.Scaling.Advance(now, s.scalingView(now), out)
@@ -349,7 +350,7 @@
 	s.updateCandidacy(now)
 	s.Leases.Reduce(now, op.Tick{Wall: s.Wall(now)}, out)
 	s.Batch.Advance(now, s.batchView(), out)
-	s.recordOwnedJobs()
+	s.recordOwnedJobs(now)
 	s.sendHeartbeats(now, out)
 }
 
--- a/internal/heartbeat/jobs.go
+++ b/internal/heartbeat/jobs.go
@@ -123,6 +123,17 @@
 	}
 }
 
+// ReleaseUnowned removes this instance as the owner of the jobs that it does not
+// own any more, as owned reports. A later owner has retryDelay to show itself in
+// a heartbeat before this instance takes such a job over.
+func (s *State) ReleaseUnowned(now clock.Millis, owned func(job string) bool) {
+	for id, k := range s.jobs {
+		if k.owner == s.Self && !owned(id) {
+			k.owner, k.nextTakeover = "", now+retryDelay
+		}
+	}
+}
+
 // Epoch returns the highest owner epoch that is known for a job, 0 if there is
 // none.
 func (s *State) Epoch(job string) unit.Epoch {
