batch: score complete outputs with reward calls

Cause: items of the new customer have a request that scores their complete output.

Change: a reward call has phases of its own (unscored, scoring), so the slot at the engine is free as soon as the output is complete. It goes to the targets of its route under the configuration in force, within the free slots but one for live services; calls that complete a group come first. Without a valid answer it is sent to another target at once, from the third time on with a delay; failures that targets report count towards the attempt limit. The split of pools and the time of an attempt are shared with forward (package route), the choice of a target with callers' requests (package roster). A complete output survives a hand-over, a score the end of its job.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -54,7 +54,13 @@
 	waiting phase = iota
 	// running items have a run in flight at a target.
 	running
-	// done items have their complete output, which is not yet in a stored chunk.
+	// unscored items have their complete output. Their reward call has no attempt
+	// in flight.
+	unscored
+	// scoring items have an attempt of their reward call in flight.
+	scoring
+	// done items have their complete output, and its score if they have a reward
+	// call, but are not yet in a stored chunk.
 	done
 	// givenUp items will not run again and have no result. They are not yet in a
 	// stored chunk.
@@ -67,10 +73,10 @@
 type Item struct {
 	op.ItemShape
 	Phase phase
-	// Target is where the current or the last run of the item was sent.
+	// Target is where the current or the last run of the item, or attempt of its
+	// reward call, was sent.
 	Target unit.Target
-	// Run is the number of the current or the last run, unique within this
-	// instance. Moving is set once the run was asked to stop so that the item can
+	// Run is the number of that run or attempt, unique within this instance. Moving is set once the run was asked to stop so that the item can
 	// resume at another target.
 	Run    int64
 	Moving bool
@@ -81,8 +87,11 @@
 	// Fails counts the runs that the target reported as failed (op.ItemFailed). The
 	// item is given up when Fails reaches the route's attempt limit.
 	Fails int
-	// NotBefore is the earliest time of the next run.
+	// NotBefore is the earliest time of the next run, or of the next attempt of the
+	// reward call.
 	NotBefore clock.Millis
+	// Reward is the state of the reward call.
+	Reward rewardCall
 	// Last is the ID of the last output event that this instance has, -1 if
 	// there is none. The next run resumes after it.
 	Last int64
@@ -136,8 +145,10 @@
 	// After the cooldown one item at a time probes the target, until an item
 	// completes there or the target answers with its version of the model.
 	Cooldowns map[targetModel]*cooldown
-	// lastRun is the number of the latest run.
+	// lastRun is the number of the latest run or attempt of a reward call.
 	lastRun int64
+	// split picks the pools of reward calls.
+	split route.Splitter
 }
 
 // targetModel is a model at a target.
@@ -177,6 +188,8 @@
 		}
 	case op.ItemRunEnded:
 		s.itemRunEnded(now, e, v)
+	case op.RewardCallEnded:
+		s.rewardCallEnded(now, e, v)
 	case op.ChunkAppended:
 		s.chunkAppended(now, e, v, out)
 	case op.EndRequested:
@@ -206,6 +219,7 @@
 		for _, j := range jobs {
 			s.startItems(now, j, v, out)
 			s.moveFromSlow(now, j, v, out)
+			s.sendRewardCalls(now, j, v, out)
 		}
 	}
 	for _, j := range jobs {
@@ -294,6 +308,11 @@
 	}
 	for _, i := range e.Whole {
 		if j.Items[i].Phase == waiting {
+			j.Items[i].outputComplete(now)
+		}
+	}
+	for _, i := range e.Scored {
+		if j.Items[i].Phase == unscored {
 			j.Items[i].Phase = done
 		}
 	}
@@ -312,13 +331,18 @@
 	delete(s.Jobs, id)
 }
 
-// stopRun cancels the run of an item, if one is in flight.
+// stopRun cancels the run of an item or the attempt of its reward call, if one is
+// in flight.
 func (s *State) stopRun(j *Job, i int, v View, out *op.List) {
 	it := &j.Items[i]
-	if it.Phase != running {
+	switch it.Phase {
+	case running:
+		it.Phase = waiting
+	case scoring:
+		it.Phase = unscored
+	default:
 		return
 	}
-	it.Phase = waiting
 	v.Roster.AttemptCancelled(it.Target)
 	out.Add(op.StopItem{Job: j.ID, Item: i, Run: it.Run})
 }
@@ -344,7 +368,7 @@
 	v.Roster.AttemptEnded(now, e.Target, e.End == op.ItemBroken)
 	switch e.End {
 	case op.ItemComplete:
-		it.Phase = done
+		it.outputComplete(now)
 		delete(s.Cooldowns, targetModel{e.Target, it.Model})
 	case op.ItemBroken:
 		it.Barren++
@@ -385,7 +409,7 @@
 	}
 	for i := range j.Items {
 		s.stopRun(j, i, v, out)
-		if j.Items[i].Phase == waiting {
+		if p := j.Items[i].Phase; p == waiting || p == unscored {
 			j.Items[i].Phase = givenUp
 		}
 	}
--- a/internal/batch/chain.go
+++ b/internal/batch/chain.go
@@ -33,9 +33,10 @@
 	out.Add(op.ForgetJob{Job: j.ID, Epoch: epoch})
 }
 
-// awaitsRuns reports whether a job that is handed over still has runs in flight.
+// awaitsRuns reports whether a job that is handed over still has runs or reward
+// calls in flight. The latter are not stopped, since they end soon.
 func (j *Job) awaitsRuns() bool {
-	return j.Leaving && slices.ContainsFunc(j.Items, func(it Item) bool { return it.Phase == running })
+	return j.Leaving && slices.ContainsFunc(j.Items, func(it Item) bool { return it.Phase == running || it.Phase == scoring })
 }
 
 // appendChunk writes the next chunk if there is something to write and it is
@@ -91,7 +92,7 @@
 		it := &j.Items[i]
 		groups[it.Group] = true
 		switch it.Phase {
-		case waiting, running:
+		case waiting, running, unscored, scoring:
 			unfinished[it.Group] = true
 		case done, givenUp:
 			unlisted[it.Group] = true
--- a/internal/edge/content.go
+++ b/internal/edge/content.go
@@ -61,6 +61,10 @@
 	versions []unit.Version
 	// lastEvent is the ID of the last event, -1 for none.
 	lastEvent int64
+	// whole is set once the output is complete, score once its reward call has
+	// given one.
+	whole bool
+	score string
 	// savedEvents counts the events that are in the store.
 	savedEvents int
 	// lineage identifies the run that made the first event. Parts are joined into
@@ -105,6 +109,8 @@
 	Events   []string
 	Last     int64
 	Versions []unit.Version
+	// Whole is set if the part ends the text.
+	Whole bool `json:",omitempty"`
 }
 
 // minSaveEvents is the number of unsaved events of an item that justifies a
@@ -234,7 +240,7 @@
 		return
 	}
 	t.events = append(t.events, part.Events...)
-	t.versions, t.lastEvent, t.savedEvents = part.Versions, part.Last, len(t.events)
+	t.versions, t.lastEvent, t.savedEvents, t.whole = part.Versions, part.Last, len(t.events), part.Whole
 }
 
 // unsavedParts returns the unsaved events of each item that has at least
@@ -248,6 +254,7 @@
 		}
 		out = append(out, partRecord{
 			ID: j.job.Items[i].ID, Line: t.lineage, From: t.savedEvents, Events: t.events[t.savedEvents:], Last: t.lastEvent, Versions: slices.Clone(t.versions),
+			Whole: t.whole,
 		})
 	}
 	return out
@@ -286,6 +293,29 @@
 	return out
 }
 
+// wholeItems returns the items whose text is complete, and those of them that
+// need no reward call any more.
+func (j *jobContent) wholeItems() (whole, scored []int) {
+	for i := range j.texts {
+		t := &j.texts[i]
+		if !t.whole {
+			continue
+		}
+		whole = append(whole, i)
+		if t.score != "" {
+			scored = append(scored, i)
+		}
+	}
+	return whole, scored
+}
+
+// setScore records the score of an item, unless its text is not complete.
+func (j *jobContent) setScore(item int, score string) {
+	if t := &j.texts[item]; t.whole {
+		t.score = score
+	}
+}
+
 // buildChunk builds the record of the chunk that an effect asks for. It holds
 // results, and unsaved events of other items if there are enough of them or
 // e.Save is set. The final chunk of a job holds no events of unfinished items.
@@ -294,7 +324,7 @@
 	for _, i := range e.Done {
 		t := &j.texts[i]
 		c.Results = append(c.Results, platform.Result{
-			ID: j.job.Items[i].ID, Text: strings.Join(t.events, "\n"), Versions: t.versions,
+			ID: j.job.Items[i].ID, Text: strings.Join(t.events, "\n"), Versions: t.versions, Score: t.score,
 		})
 	}
 	done := make(map[string]bool, len(e.Done))
@@ -322,7 +352,11 @@
 		MinVersion: j.job.MinVersion, WantGroups: j.job.WantGroups, Series: j.series(),
 	}
 	for _, it := range j.job.Items {
-		s.Items = append(s.Items, op.ItemShape{Group: it.Group, Model: it.Model, Tokens: it.Tokens, Expected: it.Expected})
+		one := op.ItemShape{Group: it.Group, Model: it.Model, Tokens: it.Tokens, Expected: it.Expected}
+		if it.Reward != nil {
+			one.Reward = op.RewardShape{Host: it.Reward.Host, Path: it.Reward.Path}
+		}
+		s.Items = append(s.Items, one)
 	}
 	return s
 }
--- a/internal/edge/items.go
+++ b/internal/edge/items.go
@@ -43,20 +43,26 @@
 
 // runItem starts a run of an item at a target.
 func (p *Process) runItem(e op.RunItem) {
+	p.contents.withJob(e.Job, func(c *jobContent) { c.texts[e.Item].run = e.Run })
+	p.startRun(e.Run, func(ctx context.Context, cancel func()) { p.executeRun(ctx, cancel, e) })
+}
+
+// startRun calls f in a goroutine, with a context that ends with the process, or
+// when the run is stopped or moved.
+func (p *Process) startRun(run int64, f func(ctx context.Context, cancel func())) {
 	ctx, cancelCause := context.WithCancelCause(context.Background())
 	cancel := func() { cancelCause(context.Canceled) }
-	p.runCancels.Store(e.Run, cancelCause)
-	p.contents.withJob(e.Job, func(c *jobContent) { c.texts[e.Item].run = e.Run })
+	p.runCancels.Store(run, cancelCause)
 	p.tasks.Go(func(processCtx context.Context) {
-		defer p.runCancels.Delete(e.Run)
+		defer p.runCancels.Delete(run)
 		stop := context.AfterFunc(processCtx, cancel)
 		defer stop()
 		defer cancel()
-		p.executeRun(ctx, cancel, e)
+		f(ctx, cancel)
 	})
 }
 
-// stopItem cancels a run.
+// stopItem cancels a run or an attempt of a reward call.
 func (p *Process) stopItem(e op.StopItem) {
 	if cancel, ok := p.runCancels.Load(e.Run); ok {
 		cancel.(context.CancelCauseFunc)(context.Canceled)
@@ -153,6 +159,13 @@
 		})
 		r.lastEvent = -1
 	}
+	if end == op.ItemComplete {
+		p.contents.withJob(e.Job, func(c *jobContent) {
+			if t := &c.texts[e.Item]; t.run == e.Run {
+				t.whole = true
+			}
+		})
+	}
 	r.logEnd(end, err)
 	p.apply(op.ItemRunEnded{Job: e.Job, Item: e.Item, Run: e.Run, Target: e.Target, End: end, Last: r.lastEvent})
 }
--- a/internal/edge/jobs.go
+++ b/internal/edge/jobs.go
@@ -93,7 +93,9 @@
 		"Job": e.Job, "From": e.From, "Epoch": c.epoch, "Listed": len(c.results), "Items": len(shape.Items),
 		"Kept": len(c.lastKeptEvents()), "AgeMillis": shape.Age,
 	}).Info("job taken over")
-	p.apply(op.JobOwnershipGained{Shape: shape, Epoch: c.epoch, Chunks: chunks, Saved: c.lastKeptEvents()})
+	gained := op.JobOwnershipGained{Shape: shape, Epoch: c.epoch, Chunks: chunks, Saved: c.lastKeptEvents()}
+	gained.Whole, gained.Scored = c.wholeItems()
+	p.apply(gained)
 }
 
 // listJobs lists the stored jobs that are recent. After a restart of the whole
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -183,6 +183,8 @@
 		p.deliver(e.Call, e)
 	case op.RunItem:
 		p.runItem(e)
+	case op.SendRewardCall:
+		p.sendRewardCall(e)
 	case op.StopItem:
 		p.stopItem(e)
 	case op.AppendChunk:
--- a/internal/edge/reuse.go
+++ b/internal/edge/reuse.go
@@ -45,10 +45,12 @@
 
 // keptText is an earlier job's text of an item: the complete output if Whole is
 // set, else its first events. Line is the text's lineage, Last the ID of its
-// last event.
+// last event. Score is what the reward call with the ID Reward gave for the text.
 type keptText struct {
 	ID       string
 	Whole    bool
+	Score    string       `json:",omitempty"`
+	Reward   unit.Request `json:",omitempty"`
 	Events   []string
 	Versions []unit.Version
 	Last     int64
@@ -80,13 +82,16 @@
 			continue
 		}
 		t := &j.texts[i]
-		kept := keptText{ID: id, Events: t.events, Versions: t.versions, Last: t.lastEvent, Line: t.lineage}
+		kept := keptText{ID: id, Events: t.events, Versions: t.versions, Last: t.lastEvent, Line: t.lineage, Whole: t.whole, Score: t.score}
 		if r, ok := results[id]; ok {
-			kept = keptText{ID: id, Whole: !r.GivenUp, Events: []string{r.Text}, Versions: r.Versions}
+			kept = keptText{ID: id, Whole: !r.GivenUp, Events: []string{r.Text}, Versions: r.Versions, Score: r.Score}
 			if r.GivenUp {
 				continue
 			}
 		}
+		if reward := j.job.Items[i].Reward; reward != nil {
+			kept.Reward = reward.ID
+		}
 		if len(kept.Events) > 0 && !anyOlder(kept.Versions, minVersion) {
 			out = append(out, kept)
 		}
@@ -104,18 +109,22 @@
 	return false
 }
 
-// reuseTexts copies texts of earlier jobs to the items that have none yet. It
-// returns the positions of the items whose text is complete.
-func (j *jobContent) reuseTexts(texts []keptText) (whole []int) {
+// reuseTexts copies texts of earlier jobs to the items that have none yet, with
+// their scores if the reward call is the same. It returns how many of the texts
+// are complete.
+func (j *jobContent) reuseTexts(texts []keptText) (whole int) {
 	for _, kept := range texts {
 		i, ok := j.index[kept.ID]
 		if !ok || j.texts[i].run != 0 || len(j.texts[i].events) > 0 {
 			continue
 		}
-		j.texts[i] = itemText{events: kept.Events, versions: kept.Versions, lastEvent: kept.Last, lineage: kept.Line}
+		j.texts[i] = itemText{events: kept.Events, versions: kept.Versions, lastEvent: kept.Last, lineage: kept.Line, whole: kept.Whole}
 		if kept.Whole {
 			j.texts[i].lastEvent = -1
-			whole = append(whole, i)
+			whole++
+		}
+		if reward := j.job.Items[i].Reward; reward != nil && reward.ID == kept.Reward {
+			j.texts[i].score = kept.Score
 		}
 	}
 	return whole
@@ -132,17 +141,17 @@
 		p.withState(func(now clock.Millis, s *State) { predecessors = s.Heartbeats.Predecessors(now, c.series(), c.job.ID) })
 	}
 	if len(predecessors) > 0 {
-		gained.Whole = p.reuseEarlierTexts(ctx, c, predecessors)
+		p.reuseEarlierTexts(ctx, c, predecessors)
 		gained.Saved = c.lastKeptEvents()
+		gained.Whole, gained.Scored = c.wholeItems()
 	}
 	if p.contents.put(c.job.ID, c) {
 		p.apply(gained)
 	}
 }
 
-// reuseEarlierTexts copies texts of earlier jobs to a new job. It returns the
-// positions of the items whose text is complete.
-func (p *Process) reuseEarlierTexts(ctx context.Context, c *jobContent, predecessors []heartbeat.Predecessor) (whole []int) {
+// reuseEarlierTexts copies texts of earlier jobs to a new job.
+func (p *Process) reuseEarlierTexts(ctx context.Context, c *jobContent, predecessors []heartbeat.Predecessor) {
 	ctx, cancel := context.WithTimeout(ctx, reuseTimeout)
 	defer cancel()
 	request := keptRequest{Workspace: c.record.Workspace, MinVersion: c.job.MinVersion}
@@ -158,13 +167,11 @@
 		if len(texts) == 0 {
 			continue
 		}
-		wholeItems := c.reuseTexts(texts)
-		whole = append(whole, wholeItems...)
+		whole := c.reuseTexts(texts)
 		p.log.WithFields(logrus.Fields{
-			"Job": c.job.ID, "From": predecessor.Job, "Texts": len(texts), "Whole": len(wholeItems), "MinVersion": request.MinVersion,
+			"Job": c.job.ID, "From": predecessor.Job, "Texts": len(texts), "Whole": whole, "MinVersion": request.MinVersion,
 		}).Info("texts of an earlier job taken")
 	}
-	return whole
 }
 
 // fetchKeptTexts returns the texts of an earlier job from its owner, which may
--- a/internal/edge/reuse_test.go
+++ b/internal/edge/reuse_test.go
@@ -18,8 +18,8 @@
 
 	later := newJobContent(jobRecord{Route: "r", Pool: "p"}, testItems(4))
 	whole := later.reuseTexts(earlier.keptTexts([]string{"i0", "i1", "i2", "i3", "other"}, 3))
-	if len(whole) != 1 || whole[0] != 0 {
-		t.Errorf("complete items: %v", whole)
+	if items, _ := later.wholeItems(); whole != 1 || len(items) != 1 || items[0] != 0 {
+		t.Errorf("complete items: %d, %v", whole, items)
 	}
 	if kept := later.lastKeptEvents(); len(kept) != 1 || kept[1] != 1 {
 		t.Errorf("last kept events: %v", kept)
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -148,7 +148,7 @@
 		s.Batch.Reduce(now, ev, s.batchView(), &out)
 		s.recordOwnedJobs(now)
 		s.sendHeartbeats(now, &out)
-	case op.JobOwnershipLost, op.JobOutputUnsaved, op.ItemRunEnded, op.ChunkAppended, op.EndRequested:
+	case op.JobOwnershipLost, op.JobOutputUnsaved, op.ItemRunEnded, op.RewardCallEnded, op.ChunkAppended, op.EndRequested:
 		owned := len(s.Batch.Jobs)
 		s.Batch.Reduce(now, ev, s.batchView(), &out)
 		if len(s.Batch.Jobs) < owned {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -21,9 +21,6 @@
 	// retryAfterStale is the Retry-After hint while the configuration is missing or
 	// stale: outages of the platform's store last for seconds.
 	retryAfterStale clock.Millis = 500
-	// minAttemptTime is the minimum time of an attempt before the request is
-	// retried at another target: several times the duration of a usual request.
-	minAttemptTime clock.Millis = 250
 	// crashLimit is the number of crashed targets after which requests with the
 	// same fingerprint are refused. Such a fingerprint is called suspect.
 	crashLimit = 3
@@ -70,10 +67,9 @@
 
 // State holds the requests in flight and the recent crashes.
 type State struct {
-	calls map[op.CallID]*call
-	// splitPosition selects the next pool of a weighted split.
-	splitPosition int
-	crashes       map[unit.Fingerprint]crashCount
+	calls   map[op.CallID]*call
+	split   route.Splitter
+	crashes map[unit.Fingerprint]crashCount
 }
 
 // View is the state of other packages that decisions on requests depend on.
@@ -159,7 +155,7 @@
 		})
 		return
 	}
-	c := &call{rule: rule, workspace: w, fingerprint: e.Fingerprint, deadline: now + timeLimit(e.Head.Left, rule.Timeout), pool: s.pickPool(rule)}
+	c := &call{rule: rule, workspace: w, fingerprint: e.Fingerprint, deadline: now + timeLimit(e.Head.Left, rule.Timeout), pool: s.split.Pick(rule)}
 	s.calls[e.Call] = c
 	s.dispatch(now, e.Call, c, v, out)
 }
@@ -177,28 +173,6 @@
 	return min(left, timeout)
 }
 
-// pickPool picks a pool of the rule's split, in proportion to the weights.
-func (s *State) pickPool(rule platform.RouteRule) unit.Pool {
-	total := 0
-	for _, sh := range rule.Split {
-		total += max(sh.Weight, 0)
-	}
-	if total == 0 {
-		return rule.Split[0].Pool
-	}
-	// The step is coprime to usual sums of weights, so that the positions are
-	// visited evenly and the pools are interleaved.
-	const step = 61
-	s.splitPosition = (s.splitPosition + step) % total
-	n := s.splitPosition
-	for _, sh := range rule.Split {
-		if n -= max(sh.Weight, 0); n < 0 {
-			return sh.Pool
-		}
-	}
-	return rule.Split[len(rule.Split)-1].Pool
-}
-
 // dispatch sends a request to a target that has not been tried. If there is none
 // left, it may go to any target except the last one tried. Without such a target
 // the request fails.
@@ -225,12 +199,10 @@
 // time left for the remaining ones. It is the request's deadline if the route is
 // not idempotent or this is the last attempt.
 func (c *call) attemptDeadline(now clock.Millis) clock.Millis {
-	left := c.rule.MaxAttempts - len(c.tried) + 1
-	if c.rule.Repeat != platform.Idempotent || left <= 1 {
+	if c.rule.Repeat != platform.Idempotent {
 		return c.deadline
 	}
-	part := max((c.deadline-now)/clock.Millis(left+1), minAttemptTime)
-	return min(now+part, c.deadline)
+	return now + route.AttemptTime(c.deadline-now, c.rule.MaxAttempts-len(c.tried)+1)
 }
 
 // attemptEnded records the end of an attempt, and retries the request or answers
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -195,18 +195,6 @@
 	}
 }
 
-func TestSplitByWeight(t *testing.T) {
-	s := &State{}
-	rule := platform.RouteRule{Split: []platform.WeightedPool{{Pool: "p", Weight: 90}, {Pool: "q", Weight: 10}}}
-	n := map[unit.Pool]int{}
-	for range 1000 {
-		n[s.pickPool(rule)]++
-	}
-	if n["p"] != 900 || n["q"] != 100 {
-		t.Errorf("got %v", n)
-	}
-}
-
 func BenchmarkRequest(b *testing.B) {
 	s, v := &State{}, view("a", "b", "c")
 	for b.Loop() {
--- a/internal/op/edge_effect.go
+++ b/internal/op/edge_effect.go
@@ -77,6 +77,21 @@
 	Until clock.Millis
 }
 
+// SendRewardCall sends the reward call of an item whose output is complete.
+// RewardCallEnded reports the end of the attempt, unless StopItem aborts it.
+type SendRewardCall struct {
+	Job  string
+	Item int
+	// Run is the number of the attempt, unique among runs of items and attempts of
+	// reward calls within this process.
+	Run     int64
+	Route   unit.Route
+	Target  unit.Target
+	Address string
+	// Until is when the attempt times out. Since is when the output was complete.
+	Until, Since clock.Millis
+}
+
 // MoveItem aborts a run so that the item can be resumed on another target.
 // ItemRunEnded reports the end.
 type MoveItem struct {
@@ -85,7 +100,7 @@
 	Run  int64
 }
 
-// StopItem aborts a run.
+// StopItem aborts a run or an attempt of a reward call.
 type StopItem struct {
 	Job  string
 	Item int
@@ -187,6 +202,7 @@
 func (ServeJobCall) effect()       {}
 func (Respond) effect()            {}
 func (RunItem) effect()            {}
+func (SendRewardCall) effect()     {}
 func (StopItem) effect()           {}
 func (AppendChunk) effect()        {}
 func (ResultsListed) effect()      {}
--- a/internal/op/edge_event.go
+++ b/internal/op/edge_event.go
@@ -127,8 +127,14 @@
 	// Tokens is the length of the prompt plus the maximum output; Expected is
 	// the caller's estimate of the output, 0 for none.
 	Tokens, Expected int
+	// Reward says where the item's reward call goes. Its Path is empty if the item
+	// has none.
+	Reward RewardShape
 }
 
+// RewardShape describes a reward call without its content.
+type RewardShape struct{ Host, Path string }
+
 // JobOwnershipGained means that this instance has become the owner of a job,
 // because it stored the job or took it over.
 type JobOwnershipGained struct {
@@ -140,9 +146,10 @@
 	// output event that this instance has. It may include items that have a
 	// result.
 	Saved map[int]int64
-	// Whole are the items whose complete output was copied from an earlier job
-	// of the series.
-	Whole []int
+	// Whole are the items whose complete output this instance has. Scored are
+	// those of them whose reward call needs no repetition, since its score is
+	// known.
+	Whole, Scored []int
 }
 
 // JobOwnershipLost means that a heartbeat has shown another owner of the job
@@ -194,6 +201,35 @@
 	Last   int64
 }
 
+// RewardEnd says how an attempt of a reward call ended.
+type RewardEnd string
+
+// The ends of attempts of reward calls.
+const (
+	// RewardScored means that the call has given a score.
+	RewardScored RewardEnd = "Scored"
+	// RewardFailed means that the target reported a failure, which counts towards
+	// the maximum attempts.
+	RewardFailed RewardEnd = "Failed"
+	// RewardImpossible means that the target rejected the call for good.
+	RewardImpossible RewardEnd = "Impossible"
+	// RewardNotRun means that the target did not accept the call.
+	RewardNotRun RewardEnd = "NotRun"
+	// RewardBroken means that there was no valid answer for another reason.
+	RewardBroken RewardEnd = "Broken"
+)
+
+// RewardCallEnded means that an attempt of a reward call has ended. Leaving is
+// set if the target has said that it is going to stop.
+type RewardCallEnded struct {
+	Job     string
+	Item    int
+	Run     int64
+	Target  unit.Target
+	End     RewardEnd
+	Leaving bool
+}
+
 // JobOutputUnsaved means that items of a job have enough output events that are
 // not stored yet to be worth a write.
 type JobOutputUnsaved struct{ Job string }
@@ -359,6 +395,7 @@
 func (JobOwnershipLost) event()     {}
 func (JobOutputUnsaved) event()     {}
 func (ItemRunEnded) event()         {}
+func (RewardCallEnded) event()      {}
 func (ChunkAppended) event()        {}
 func (EndRequested) event()         {}
 func (VersionOrdered) event()       {}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -140,15 +140,36 @@
 // attempts of this instance per slot, then those in the data centre of this
 // instance. Remaining ties are broken in rotation.
 func (s *State) Pick(now clock.Millis, pool unit.Pool, tried []unit.Target) *Target {
+	return s.pick(now, pool, func(t *Target) bool { return !slices.Contains(tried, t.Target) })
+}
+
+// PickFree is Pick among the targets that have more than reserve free slots. It
+// returns nil if only suspect targets have, but others exist: one of those will
+// soon have a free slot.
+func (s *State) PickFree(now clock.Millis, pool unit.Pool, tried []unit.Target, reserve int) *Target {
+	best := s.pick(now, pool, func(t *Target) bool {
+		return !slices.Contains(tried, t.Target) && t.FreeSlots() > min(reserve, max(t.Slots, 1)-1)
+	})
+	if best == nil || now >= best.SuspectUntil {
+		return best
+	}
+	for _, t := range s.Usable(pool) {
+		if now >= t.SuspectUntil && !slices.Contains(tried, t.Target) {
+			return nil
+		}
+	}
+	return best
+}
+
+// pick returns the best of the pool's targets that are eligible, nil if there is
+// none.
+func (s *State) pick(now clock.Millis, pool unit.Pool, eligible func(*Target) bool) *Target {
 	var best *Target
 	s.picks++
 	usable := s.Usable(pool)
 	for i := range usable {
 		t := usable[(i+int(s.picks%uint64(len(usable))))%len(usable)]
-		if slices.Contains(tried, t.Target) {
-			continue
-		}
-		if best == nil || s.better(now, t, best) {
+		if eligible(t) && (best == nil || s.better(now, t, best)) {
 			best = t
 		}
 	}
--- a/pkg/platform/hosted.go
+++ b/pkg/platform/hosted.go
@@ -260,7 +260,9 @@
 	// Version is the model version that produced the response; 0 if the target
 	// did not state it.
 	Version unit.Version
-	Body    io.ReadCloser
+	// Stamp identifies this run of the request at the target.
+	Stamp string
+	Body  io.ReadCloser
 }
 
 // Event is one event of a stream.
@@ -361,6 +363,17 @@
 	// Expected is the caller's estimate of the output's tokens; 0 if none.
 	Expected int
 	Model    unit.Model
+	// Reward is nil if the item's result has no score.
+	Reward *RewardCall
+}
+
+// RewardCall is a request that scores the complete output of an item. It is
+// idempotent, and is sent only after the last event of the output.
+type RewardCall struct {
+	ID   unit.Request
+	Host string
+	Path string
+	Body []byte
 }
 
 // Job is a set of requests that are submitted together.
@@ -385,6 +398,9 @@
 	Text    string
 	// Versions are the model versions that produced the text.
 	Versions []unit.Version
+	// Score is the stamp of a successful answer to the item's reward call, empty
+	// if the item has none.
+	Score string `json:",omitempty"`
 }
 
 // JobCall is the kind of a call about an existing job.
