steplife: show from the logs what the time of each step was spent on

catkinhead steps FILE prints for each step the course of its critical item, the last one of the groups that the trainer waits for: start, first events, usual and stalled events, pauses, score, listing and reading. The log line of a run has the item's group and the time to its first event for that.

--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -19,7 +19,7 @@
 		g.hostedCommand("storage", "run on a storage instance of a hosted platform; it only completes the retirement of the instance", serveStorage),
 		g.demoCommand(), g.checkCommand(), g.applyCommand(), g.getCommand(),
 		g.workspaceCommand(), g.keyCommand(), g.routeCommand(), g.poolCommand(), g.targetCommand(),
-		g.stepCommand(), g.drainCommand(), g.dumpCommand(), g.replayCommand(), g.loadCommand(),
+		g.stepCommand(), g.drainCommand(), g.dumpCommand(), g.replayCommand(), g.loadCommand(), g.stepsCommand(),
 		g.versionCommand(),
 	}
 }
--- a/internal/edge/items.go
+++ b/internal/edge/items.go
@@ -135,10 +135,13 @@
 	eventCount int
 	// stallTimer cancels the run if no event arrives in time.
 	stallTimer *time.Timer
-	// lastEventAt is when the last event arrived, 0 before the first one.
-	lastEventAt clock.Millis
-	// request is the item's ID, which the target gets as the request's ID.
+	// firstEventAt and lastEventAt are when the first and the last event arrived, 0
+	// before the first one.
+	firstEventAt, lastEventAt clock.Millis
+	// request is the item's ID, which the target gets as the request's ID. group is
+	// the item's group.
 	request unit.Request
+	group   string
 }
 
 // executeRun performs a run and applies its end as an event.
@@ -176,6 +179,12 @@
 		"Request": r.request, "Job": r.e.Job, "Item": r.e.Item, "Target": r.e.Target, "End": end, "After": r.e.After, "Last": r.lastEvent,
 		"Version": r.version, "MinVersion": r.e.MinVersion, "TookMillis": r.p.clock.Now() - r.startedAt,
 	}
+	if r.group != "" {
+		fields["Group"] = r.group
+	}
+	if r.firstEventAt > 0 {
+		fields["FirstMillis"] = max(r.firstEventAt-r.startedAt, 1)
+	}
 	if err != nil {
 		fields["Error"] = err.Error()
 	}
@@ -219,6 +228,7 @@
 	now := r.p.clock.Now()
 	ok := r.p.contents.withJob(r.e.Job, func(c *jobContent) {
 		it := c.job.Items[r.e.Item]
+		r.group = it.Group
 		o = platform.TargetRequest{
 			Attempt: unit.Request(it.ID), Target: r.e.Target, Address: r.e.Address, Method: http.MethodPost,
 			Host: c.record.Host, URI: it.Path, Header: make(http.Header, len(it.Headers)), Body: it.Body,
@@ -263,6 +273,9 @@
 // recordEventTime records the time since the previous event.
 func (r *run) recordEventTime() {
 	now := r.p.clock.Now()
+	if r.firstEventAt == 0 {
+		r.firstEventAt = now
+	}
 	if r.lastEventAt > 0 {
 		r.p.eventTimes.add(r.e.Target, now-r.lastEventAt)
 	}
