--- a/internal/batch/batch_test.go
+++ b/internal/batch/batch_test.go
@@ -107,6 +107,24 @@
 	}
 }
 
+func TestRunsStayAtSlowTargetWithoutFreeSlots(t *testing.T) {
+	f := newFixture(target("slow", 4, 1), target("full", 1, 1), target("other", 1, 1))
+	f.view.Roster.SetRemoteAttempts(map[unit.Target]int{"full": 3, "other": 1})
+	f.ownJob(1, op.ItemShape{}, op.ItemShape{})
+	f.view.Roster.Targets["slow"].SlowUntil = f.now + 1000
+	f.apply(op.Tick{})
+	for _, e := range f.out {
+		if m, ok := e.(op.MoveItem); ok {
+			t.Errorf("%+v although no other target has a free slot", m)
+		}
+	}
+	f.view.Roster.SetRemoteAttempts(map[unit.Target]int{"full": 3})
+	f.apply(op.Tick{})
+	if moves := len(f.out); moves != 1 {
+		t.Errorf("%d effects with one free slot at another target: %+v", moves, f.out)
+	}
+}
+
 func TestRefusingTargetIsProbedWithOneItem(t *testing.T) {
 	f := newFixture(target("t", 4, 1))
 	f.ownJob(1, op.ItemShape{}, op.ItemShape{}, op.ItemShape{})
--- a/internal/batch/placement.go
+++ b/internal/batch/placement.go
@@ -22,7 +22,7 @@
 		if free < 0 {
 			free = s.freeSlots(now, j, it, v)
 		}
-		if free == 0 {
+		if free <= 0 {
 			return
 		}
 		free--
@@ -37,7 +37,7 @@
 	n := 0
 	for _, t := range v.Roster.Usable(j.Pool) {
 		if s.canRun(now, j, it, t) && now >= t.SlowUntil {
-			n += t.FreeSlots()
+			n += max(t.FreeSlots(), 0)
 		}
 	}
 	return n
--- a/internal/cli/steps.go
+++ b/internal/cli/steps.go
@@ -14,7 +14,9 @@
 	var file string
 	return command{
 		name: "steps", help: "show from the logs of hosted instances what the time of each step was spent on",
-		flags: func(s *flaggy.Subcommand) { s.AddPositionalValue(&file, "FILE", 1, true, "the log lines of all instances") },
+		flags: func(s *flaggy.Subcommand) {
+			s.AddPositionalValue(&file, "FILE", 1, true, "the log lines of all instances")
+		},
 		run: func(context.Context) error {
 			f, err := os.Open(file)
 			if err != nil {
