batch: place items by the work that targets have

Hypothesis: the longer the outputs that a target generates together, the slower each comes (36.5 ms an event alone, 41.8 ms for four long ones at one target), and instances that start jobs at the same moment choose the same targets in the same order. So items go where the sum of the expected outputs is least, and instances order equal targets differently.

TestLongItemsAreSpreadOverTargets and TestInstancesStartAtDifferentTargets were red before.

--- a/internal/batch/batch_test.go
+++ b/internal/batch/batch_test.go
@@ -322,3 +322,28 @@
 		f.state.Advance(f.now, f.view, &out)
 	}
 }
+
+func TestLongItemsAreSpreadOverTargets(t *testing.T) {
+	f := newFixture(target("a", 8, 1), target("b", 8, 1), target("c", 8, 1))
+	f.ownJob(1, op.ItemShape{Expected: 900}, op.ItemShape{Expected: 300}, op.ItemShape{Expected: 290},
+		op.ItemShape{Expected: 20}, op.ItemShape{Expected: 20}, op.ItemShape{Expected: 20}, op.ItemShape{Expected: 20})
+	long := f.runs[0].Target
+	for _, r := range f.runs[1:] {
+		if r.Target == long {
+			t.Errorf("item %d was sent to the target of the longest item", r.Item)
+		}
+	}
+}
+
+func TestInstancesStartAtDifferentTargets(t *testing.T) {
+	chosen := make(map[unit.Target]bool)
+	for _, self := range []unit.Instance{"a", "b", "c", "d", "e", "f"} {
+		f := newFixture(target("t1", 8, 1), target("t2", 8, 1), target("t3", 8, 1))
+		f.state.Self = self
+		f.ownJob(1, op.ItemShape{Expected: 900})
+		chosen[f.runs[0].Target] = true
+	}
+	if len(chosen) < 2 {
+		t.Errorf("all instances chose %v", chosen)
+	}
+}
--- a/internal/batch/placement.go
+++ b/internal/batch/placement.go
@@ -1,9 +1,12 @@
 package batch
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/catkinhead/catkinhead/internal/op"
 	"github.com/catkinhead/catkinhead/internal/roster"
 	"github.com/catkinhead/catkinhead/pkg/clock"
@@ -52,17 +55,22 @@
 	if !ok {
 		return
 	}
+	var load workload
 	for _, i := range j.Order {
 		it := &j.Items[i]
 		if it.Phase != waiting || now < it.NotBefore {
 			continue
 		}
-		t := s.pickTarget(now, j, it, v)
+		if load.own == nil {
+			load = s.workloadFor(j)
+		}
+		t := s.pickTarget(now, j, it, load, v)
 		if t == nil {
 			continue
 		}
 		s.lastRun++
 		it.Phase, it.Run, it.Target, it.Moving = running, s.lastRun, t.Target, false
+		load.own[t.Target] += it.work()
 		v.Roster.AttemptStarted(t.Target)
 		if c := s.Cooldowns[targetModel{t.Target, it.Model}]; c != nil {
 			c.probeRun = it.Run
@@ -74,21 +82,75 @@
 	}
 }
 
+// workload is the work of the targets, in tokens of output. The longer the outputs
+// that a target generates at the same time, the slower it generates each.
+type workload struct {
+	// own is the expected output of the items that this instance runs.
+	own map[unit.Target]int
+	// mean is the mean expected output of an item. It is assumed for the runs of
+	// other instances.
+	mean int
+}
+
+// workloadFor returns the work of the targets, with the mean of a job's items.
+func (s *State) workloadFor(j *Job) workload {
+	load := workload{own: make(map[unit.Target]int), mean: 1}
+	for _, other := range s.Jobs {
+		for i := range other.Items {
+			if it := &other.Items[i]; it.Phase == running {
+				load.own[it.Target] += it.work()
+			}
+		}
+	}
+	sum := 0
+	for i := range j.Items {
+		sum += j.Items[i].work()
+	}
+	load.mean = max(sum/max(len(j.Items), 1), 1)
+	return load
+}
+
+// work returns the expected output of an item in tokens, at least 1.
+func (it *Item) work() int { return max(it.Expected, 1) }
+
+// of returns the work of a target for each of its slots.
+func (l workload) of(t *roster.Target) int {
+	return (l.own[t.Target] + t.Elsewhere*l.mean) / max(t.Slots, 1)
+}
+
 // pickTarget returns the best target with a free slot that can run an item, nil
-// if there is none.
-func (s *State) pickTarget(now clock.Millis, j *Job, it *Item, v View) *roster.Target {
+// if there is none. Targets that are not slow come first, then those with the
+// least work. Instances order equal targets differently, so that those that start
+// jobs at the same time do not choose the same ones.
+func (s *State) pickTarget(now clock.Millis, j *Job, it *Item, load workload, v View) *roster.Target {
 	var best *roster.Target
 	for _, t := range v.Roster.Usable(j.Pool) {
 		if t.FreeSlots() <= 0 || !s.canRun(now, j, it, t) {
 			continue
 		}
-		if best == nil || better(now, t, best) {
+		if best == nil || s.better(now, t, best, load) {
 			best = t
 		}
 	}
 	return best
 }
 
+// better reports whether target a is preferred to b.
+func (s *State) better(now clock.Millis, a, b *roster.Target, load workload) bool {
+	if x, y := now < a.SlowUntil, now < b.SlowUntil; x != y {
+		return y
+	}
+	if c := cmp.Compare(load.of(a), load.of(b)); c != 0 {
+		return c < 0
+	}
+	return s.tieRank(a.Target) < s.tieRank(b.Target)
+}
+
+// tieRank returns the rank of a target among equal ones at this instance.
+func (s *State) tieRank(t unit.Target) uint64 {
+	return xxhash.Sum64String(string(s.Self) + "\x00" + string(t))
+}
+
 // canRun reports whether a target may run an item now: it has the minimum
 // version, has not failed recently, and is neither in cooldown for the model nor
 // being probed with another item.
@@ -127,12 +189,3 @@
 	}
 	return out
 }
-
-// better reports whether target a is preferred to b: targets that are not slow
-// come first, then those with the lower share of slots in use.
-func better(now clock.Millis, a, b *roster.Target) bool {
-	if x, y := now < a.SlowUntil, now < b.SlowUntil; x != y {
-		return y
-	}
-	return a.InFlight()*max(b.Slots, 1) < b.InFlight()*max(a.Slots, 1)
-}
