batch: list results of incomplete groups once a second

Hypothesis: a trainer that finds results pauses half a second before it reads again. Fewer chunks also are fewer calls to the store.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -13,10 +13,16 @@
 )
 
 const (
-	// minAppendInterval is the minimum time between two chunks of a job, which
-	// limits the calls to the store. Results that complete the groups that the
-	// trainer waits for, or the whole job, are written immediately.
-	minAppendInterval clock.Millis = 300
+	// appendInterval is the time between two chunks of a job as long as their results
+	// are of no use to the trainer, which waits for a number of complete groups. A
+	// trainer that finds results pauses before it reads again, and so would notice
+	// later that the groups are complete. Results that complete these groups, or any
+	// further one, are written immediately.
+	appendInterval clock.Millis = clock.Second
+	// lateAppendInterval is the time between two chunks from lateMargin before all
+	// results are due. Groups that are complete by then count even if others are not.
+	lateAppendInterval clock.Millis = 300
+	lateMargin         clock.Millis = 1500
 	// minSaveInterval is the minimum time between a chunk of a job and the next
 	// one, if that contains only partial output of unfinished items.
 	minSaveInterval clock.Millis = clock.Second
--- a/internal/batch/chain.go
+++ b/internal/batch/chain.go
@@ -73,13 +73,17 @@
 	}
 	e.Save = j.Leaving
 	j.Writing, j.SaveWanted = true, false
-	j.AppendAt, j.SaveAt = now+minAppendInterval, now+minSaveInterval
+	j.AppendAt, j.SaveAt = now+appendInterval, now+minSaveInterval
+	if j.DueAt > 0 && now+appendInterval > j.DueAt-lateMargin {
+		j.AppendAt = now + lateAppendInterval
+	}
 	out.Add(e)
 }
 
 // completesJobOrGroups reports whether a chunk with the results that are ready
-// completes the job, or raises the number of complete groups in the store to
-// WantGroups, for which the trainer waits. Such a chunk is written without delay.
+// completes the job, or completes a group and raises the number of complete groups
+// in the store to WantGroups or above. The trainer may wait for that group. Such a
+// chunk is written without delay.
 // ready is the number of items that are done or given up.
 func (j *Job) completesJobOrGroups(ready int) bool {
 	if j.Listed+ready == len(j.Items) {
@@ -108,7 +112,7 @@
 			listedWhole++
 		}
 	}
-	return j.WantGroups > 0 && whole >= j.WantGroups && listedWhole < j.WantGroups
+	return j.WantGroups > 0 && whole >= j.WantGroups && listedWhole < whole
 }
 
 // chunkAppended handles the end of a chunk's write. On a conflict, the chunk
