--- a/internal/edge/store_test.go
+++ b/internal/edge/store_test.go
@@ -223,3 +223,87 @@
 type roundTripper func(*http.Request) (*http.Response, error)
 
 func (f roundTripper) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
+// relayRequest returns a request to the store that has a second.
+func relayRequest(t *testing.T) *http.Request {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	t.Cleanup(cancel)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://store:1/objects/a/b", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return req
+}
+
+// silentStore is a transport on which only peers answer, after peerDelay. It
+// records the hosts of the calls.
+func silentStore(hosts *[]string, peerDelay time.Duration) roundTripper {
+	return func(r *http.Request) (*http.Response, error) {
+		*hosts = append(*hosts, r.URL.Host)
+		if strings.HasPrefix(r.URL.Host, "store") {
+			<-r.Context().Done()
+			return nil, r.Context().Err()
+		}
+		time.Sleep(peerDelay)
+		return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(strings.NewReader(""))}, nil
+	}
+}
+
+// TestRelayLeavesASilentStoreInTime guards against a caller that gives up before
+// the first call to the store has failed: callers wait for a second.
+func TestRelayLeavesASilentStoreInTime(t *testing.T) {
+	var hosts []string
+	relay := NewRelay(clock.System{}, "store:1", silentStore(&hosts, 0))
+	relay.livePeers = func() []string { return []string{"peer:2"} }
+	startedAt := time.Now()
+	if _, err := relay.RoundTrip(relayRequest(t)); !errors.Is(err, errNoAnswer) {
+		t.Errorf("got %v", err)
+	}
+	if _, err := relay.RoundTrip(relayRequest(t)); err != nil {
+		t.Errorf("through a peer: %v", err)
+	}
+	if took := time.Since(startedAt); took > 600*time.Millisecond {
+		t.Errorf("took %s", took)
+	}
+	if got := strings.Join(hosts, " "); got != "store:1 peer:2" {
+		t.Errorf("calls went to %s", got)
+	}
+}
+
+func TestRelayDurationGrowsWithFailures(t *testing.T) {
+	c := &clock.Manual{}
+	relay := NewRelay(c, "store:1", roundTripper(func(*http.Request) (*http.Response, error) { return nil, errors.New("reset") }))
+	relay.livePeers = func() []string { return []string{"peer:2"} }
+	for _, want := range []clock.Millis{relayDuration, 2 * relayDuration, 4 * relayDuration, maxRelayDuration, maxRelayDuration} {
+		if _, err := relay.callStore(relayRequest(t)); err == nil {
+			t.Fatal("no error")
+		}
+		relay.recordFailure()
+		relay.recordFailure()
+		if got := clock.Millis(relay.relayUntil.Load()) - c.Now(); got != want {
+			t.Errorf("calls go through peers for %d ms, want %d", got, want)
+		}
+		c.Advance(want)
+	}
+	relay.recordSuccess()
+	relay.recordFailure()
+	if got := clock.Millis(relay.relayUntil.Load()) - c.Now(); got != relayDuration {
+		t.Errorf("after a success: %d ms", got)
+	}
+}
+
+// TestRelayWaitsLongerForASlowStore guards against leaving a store that is slow
+// for everyone: answers through peers show that.
+func TestRelayWaitsLongerForASlowStore(t *testing.T) {
+	var hosts []string
+	relay := NewRelay(clock.System{}, "store:1", silentStore(&hosts, 200*time.Millisecond))
+	relay.livePeers = func() []string { return []string{"peer:2"} }
+	for range 3 {
+		if _, err := relay.callPeer(relayRequest(t), "peer:2"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if limit := relay.answerLimit(); limit < 400 {
+		t.Errorf("the limit is %d ms although answers take 200 ms", limit)
+	}
+}
