roster: avoid targets that another instance has found slow

Hypothesis: an instance needs events of its own runs at three targets of a pool, in two rounds, to find one slow, and the others go on sending items there. Heartbeats now name the targets that the sender has found slow.

TestTargetsThatPeersFindSlowAreAvoided.

--- a/internal/batch/placement.go
+++ b/internal/batch/placement.go
@@ -39,7 +39,7 @@
 func (s *State) freeSlots(now clock.Millis, j *Job, it *Item, v View) int {
 	n := 0
 	for _, t := range v.Roster.Usable(j.Pool) {
-		if s.canRun(now, j, it, t) && now >= t.SlowUntil {
+		if s.canRun(now, j, it, t) && !t.Slow(now) {
 			n += max(t.FreeSlots(), 0)
 		}
 	}
@@ -137,7 +137,7 @@
 
 // better reports whether target a is preferred to b.
 func (s *State) better(now clock.Millis, a, b *roster.Target, load workload) bool {
-	if x, y := now < a.SlowUntil, now < b.SlowUntil; x != y {
+	if x, y := a.Slow(now), b.Slow(now); x != y {
 		return y
 	}
 	if c := cmp.Compare(load.of(a), load.of(b)); c != 0 {
--- a/internal/edge/heartbeat_test.go
+++ b/internal/edge/heartbeat_test.go
@@ -120,3 +120,23 @@
 		s.sendHeartbeats(100, &out)
 	}
 }
+
+func TestTargetsThatPeersFindSlowAreAvoided(t *testing.T) {
+	s, heartbeats := fleetState(2, 3)
+	slow := s.Roster.Usable("p")[0].Target
+	heartbeats[0].Slow = []unit.Target{slow}
+	s.Reduce(100, op.HeartbeatReceived{Heartbeat: heartbeats[0]})
+	s.Reduce(110, op.Tick{})
+	if !s.Roster.Slow(110, slow) {
+		t.Error("the target is not avoided")
+	}
+	if own := s.Roster.LocalSlow(110); len(own) != 0 {
+		t.Errorf("the finding of a peer would be passed on as an own one: %v", own)
+	}
+	heartbeats[0].Slow, heartbeats[0].Seq = nil, 2
+	s.Reduce(200, op.HeartbeatReceived{Heartbeat: heartbeats[0]})
+	s.Reduce(210, op.Tick{})
+	if s.Roster.Slow(210, slow) {
+		t.Error("the target is still avoided")
+	}
+}
--- a/internal/edge/heartbeats.go
+++ b/internal/edge/heartbeats.go
@@ -68,18 +68,23 @@
 	s.peersChanged, s.nextAggregateAt = false, now+aggregateInterval
 	live := s.Heartbeats.LivePeers(now)
 	running := make(map[unit.Target]int)
+	slow := make(map[unit.Target]bool)
 	s.crashes = make(map[unit.Fingerprint]int)
 	offsets := make([]clock.Millis, 1, len(live)+1)
 	for _, p := range live {
 		for id, n := range p.Running {
 			running[id] += n
 		}
+		for _, id := range p.Slow {
+			slow[id] = true
+		}
 		for f, n := range p.Crashes {
 			s.crashes[f] += n
 		}
 		offsets = append(offsets, p.WallOffset)
 	}
 	s.Roster.SetRemoteAttempts(running)
+	s.Roster.SetRemoteSlow(slow)
 	slices.Sort(offsets)
 	s.wallOffset = offsets[(len(offsets)-1)/2]
 }
@@ -104,6 +109,7 @@
 		Instance: s.Environment.Instance, Incarnation: s.Self, Seq: s.heartbeatSeq, Address: s.PeerAddress(),
 		DataCentre: s.Environment.DataCentre, Uptime: now - s.startedAt, Next: interval, Wall: s.localWall(now), Leaving: s.Draining, Holder: held,
 		Orphans: s.Heartbeats.Orphans(), Running: s.Roster.LocalAttempts(), Demands: s.Batch.Demands(), Crashes: s.Forward.Crashes(now),
+		Slow: s.Roster.LocalSlow(now),
 	}
 	if l := s.Leases.Leases[dutiesScope]; held && l != nil {
 		h.Lease = l.Revision
--- a/internal/op/edge_event.go
+++ b/internal/op/edge_event.go
@@ -334,6 +334,8 @@
 	Demands []Demand `json:",omitempty"`
 	// Running counts the sender's attempts in flight at each target.
 	Running map[unit.Target]int `json:",omitempty"`
+	// Slow are the targets whose output events the sender has found slow.
+	Slow []unit.Target `json:",omitempty"`
 }
 
 // Demand says what the open jobs of an instance need of a model.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -42,9 +42,11 @@
 	// as their heartbeats report.
 	Elsewhere int
 	// SlowRounds counts the consecutive rounds of measurements in which the
-	// target's output events were slow. The target is avoided until SlowUntil.
-	SlowRounds int
-	SlowUntil  clock.Millis
+	// target's output events were slow. The target is avoided until SlowUntil, and
+	// while SlowElsewhere is set: another instance has found it slow.
+	SlowRounds    int
+	SlowUntil     clock.Millis
+	SlowElsewhere bool
 	// Failures counts consecutive failed attempts. The target is suspect until
 	// SuspectUntil: requests go to it only if there is no other target, and batch
 	// items do not go to it at all.
@@ -240,10 +242,33 @@
 // in flight than the target has slots. A target counts as having at least one slot.
 func (t *Target) FreeSlots() int { return max(t.Slots, 1) - t.InFlight() }
 
-// Slow reports whether a target is avoided because its output events are slow.
+// Slow reports whether the target is avoided because its output events are slow.
+func (t *Target) Slow(now clock.Millis) bool { return now < t.SlowUntil || t.SlowElsewhere }
+
+// Slow reports whether a target is known and is avoided because its output events
+// are slow.
 func (s *State) Slow(now clock.Millis, id unit.Target) bool {
 	t := s.Targets[id]
-	return t != nil && now < t.SlowUntil
+	return t != nil && t.Slow(now)
+}
+
+// LocalSlow returns the targets that this instance has found slow, sorted.
+func (s *State) LocalSlow(now clock.Millis) []unit.Target {
+	var out []unit.Target
+	for id, t := range s.Targets {
+		if now < t.SlowUntil {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// SetRemoteSlow sets which targets other instances have found slow.
+func (s *State) SetRemoteSlow(slow map[unit.Target]bool) {
+	for id, t := range s.Targets {
+		t.SlowElsewhere = slow[id]
+	}
 }
 
 // ApplyEventTimes applies a round of measurements: the mean time between output
