platform: bound what is read of a target's answer

An event line was read without any bound, so a target that sends bytes without end could take all memory of an instance.

--- a/internal/edge/content.go
+++ b/internal/edge/content.go
@@ -57,6 +57,9 @@
 	// started none. Only that run may add events.
 	run    int64
 	events []string
+	// size is the length of the events that runs of this instance have added, in
+	// bytes, with eventOverhead for each.
+	size int
 	// versions are the model versions that produced the events.
 	versions []unit.Version
 	// lastEvent is the ID of the last event, -1 for none.
--- a/internal/edge/items.go
+++ b/internal/edge/items.go
@@ -38,6 +38,15 @@
 // has to come from a single version.
 var errMixedVersions = errors.New("version changed in a text that requires a single version")
 
+const (
+	// maxTextBytes bounds the text of an item, in bytes. A longer one would not fit
+	// into a chunk of results.
+	maxTextBytes = maxChunkBytes
+	// eventOverhead is what an event adds to the text beside its data, in bytes. It
+	// also bounds the number of empty events.
+	eventOverhead = 16
+)
+
 // errRunReplaced ends a run after another run of the same item has started.
 var errRunReplaced = errors.New("another run of the item has started")
 
@@ -311,6 +320,10 @@
 		if len(t.events) == 0 {
 			t.lineage = fmt.Sprintf("%s/%d", r.p.state.Self, r.e.Run)
 		}
+		if t.size += len(ev.Data) + eventOverhead; t.size > maxTextBytes {
+			err = platform.ErrTooLong
+			return
+		}
 		t.events = append(t.events, string(ev.Data))
 		t.lastEvent = ev.ID
 		if !slices.Contains(t.versions, r.version) {
--- a/internal/edge/reward.go
+++ b/internal/edge/reward.go
@@ -19,9 +19,6 @@
 // body is not used.
 const maxRewardBytes = 1 << 20
 
-// errEndlessAnswer means that an answer is longer than any valid one.
-var errEndlessAnswer = errors.New("answer is too long")
-
 // sendRewardCall starts an attempt of a reward call.
 func (p *Process) sendRewardCall(e op.SendRewardCall) {
 	p.startRun(e.Run, func(ctx context.Context, _ func()) {
@@ -64,7 +61,7 @@
 	case err != nil:
 		return o, "", fmt.Errorf("read answer: %w", err)
 	case n > maxRewardBytes:
-		return o, "", errEndlessAnswer
+		return o, "", platform.ErrTooLong
 	case reply.Status < http.StatusOK || reply.Status >= http.StatusMultipleChoices:
 		return o, "", statusError(reply.Status)
 	}
--- a/internal/edge/reward_test.go
+++ b/internal/edge/reward_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"testing"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
 
 	"github.com/catkinhead/catkinhead/internal/op"
@@ -158,3 +159,24 @@
 		t.Errorf("complete %v, scored %v after %+v", whole, scored, chunk)
 	}
 }
+
+func TestTextWithoutEnd(t *testing.T) {
+	tests := map[string][]byte{"long events": make([]byte, 4096), "empty events": nil}
+	for name, data := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := rewardProcess(nil)
+			p.state = NewState(platform.Environment{Instance: "a"}, "a#1", 0)
+			p.metrics = metrics.NewSet()
+			p.contents.withJob(testJob, func(c *jobContent) { c.texts[0] = itemText{run: 1, lastEvent: -1} })
+			r := &run{p: p, e: op.RunItem{Job: testJob, Run: 1}, lastEvent: -1}
+			var err error
+			n := int64(0)
+			for ; err == nil && n < maxTextBytes; n++ {
+				err = r.keepEvent(platform.Event{ID: n, Data: data})
+			}
+			if !errors.Is(err, platform.ErrTooLong) {
+				t.Errorf("after %d events: %v", n, err)
+			}
+		})
+	}
+}
--- a/pkg/platform/hosted.go
+++ b/pkg/platform/hosted.go
@@ -14,6 +14,10 @@
 // already discarded. The caller must list the objects again.
 var ErrHistoryDiscarded = constError("store has discarded the requested changes")
 
+// ErrTooLong means that a target or the store sent more bytes than any valid
+// answer has.
+var ErrTooLong = constError("answer is too long")
+
 // constError is an error that consists of a constant text.
 type constError string
 
@@ -275,7 +279,8 @@
 }
 
 // Events reads the events of a stream. Next returns io.EOF after the last event
-// of a complete stream.
+// of a complete stream, and an error that wraps ErrTooLong for an event that is
+// longer than any valid one.
 type Events interface {
 	Next() (Event, error)
 }
--- a/pkg/platform/link/write_deadline.go
+++ b/pkg/platform/link/write_deadline.go
@@ -47,5 +47,5 @@
 		deadline, _ := ctx.Value(writeDeadlineKey{}).(clock.Millis)
 		return &deadlineConn{Conn: conn, clock: c, deadline: deadline}, nil
 	}
-	return &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}
+	return &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}}
 }
--- a/pkg/platform/link/write_tracker.go
+++ b/pkg/platform/link/write_tracker.go
@@ -83,6 +83,9 @@
 	}
 }
 
+// maxHeaderBytes bounds the head of a response, in bytes.
+const maxHeaderBytes = 64 << 10
+
 // NewClient returns an HTTP client whose connections count the bytes written,
 // and add the bytes read and written to total, which may be nil. It keeps up to
 // idlePerHost idle connections to each host; without keepAlive, each request gets
@@ -94,5 +97,7 @@
 		MaxIdleConns:        2048,
 		IdleConnTimeout:     30 * time.Second,
 		DisableKeepAlives:   !keepAlive,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}}
 }
