edge: save unfinished texts from eight events on

Chunks are written at most once a second for a job whatever the threshold, so a lower one costs no calls.

--- a/internal/edge/content.go
+++ b/internal/edge/content.go
@@ -117,8 +117,8 @@
 }
 
 // minSaveEvents is the number of unsaved events of an item that justifies a
-// write: it takes more than a second to generate them again.
-const minSaveEvents = 30
+// write, which happens at most once a second for a job.
+const minSaveEvents = 8
 
 func newContentStore() *contentStore { return &contentStore{jobs: make(map[string]*jobContent)} }
 
