heartbeat: list the stored jobs 400 ms after a start

Hypothesis: after a restart of the whole fleet, jobs wait 0.7 s for heartbeats of peers that do not exist. Peers in a living fleet send one every 250 ms, or 500 ms in large fleets, to the addresses that the store lists.

--- a/internal/heartbeat/jobs.go
+++ b/internal/heartbeat/jobs.go
@@ -12,7 +12,7 @@
 const (
 	// listDelay is how long after its start an instance waits for heartbeats of
 	// peers that know the jobs, before it lists the jobs in the store.
-	listDelay clock.Millis = 700
+	listDelay clock.Millis = 400
 	// retryDelay is the minimum time between two attempts to take over a job, or
 	// to list the jobs.
 	retryDelay clock.Millis = 500
