heartbeat: wait for one heartbeat interval before the stored jobs are listed

The fixed 400 ms are shorter than the interval of a large fleet, whose restarted instances would all list the jobs.

--- a/internal/heartbeat/jobs.go
+++ b/internal/heartbeat/jobs.go
@@ -10,9 +10,10 @@
 )
 
 const (
-	// listDelay is how long after its start an instance waits for heartbeats of
-	// peers that know the jobs, before it lists the jobs in the store.
-	listDelay clock.Millis = 400
+	// listMargin is how much longer than the heartbeat interval an instance waits
+	// after its start for heartbeats of peers that know the jobs, before it lists the
+	// jobs in the store.
+	listMargin clock.Millis = 150
 	// retryDelay is the minimum time between two attempts to take over a job, or
 	// to list the jobs.
 	retryDelay clock.Millis = 500
@@ -188,7 +189,7 @@
 // unless a peer has been running for long enough to know them. Only the instance
 // that ranks first does so; the others learn of the jobs from its heartbeats.
 func (s *State) listJobs(now clock.Millis, out *op.List) {
-	if s.jobsListed || s.listing || now < s.startedAt+listDelay || now < s.listRetryAt {
+	if s.jobsListed || s.listing || now < s.startedAt+s.HeartbeatInterval()+listMargin || now < s.listRetryAt {
 		return
 	}
 	for _, p := range s.LivePeers(now) {
