edge: run the items of a job while the store does not take it

If the first attempt to store a submitted job fails, its items run already, reward calls included; the instance goes on storing the job as long as the caller may submit it again. Once it is stored, whoever wrote it, that instance claims it under epoch 3 and lists what is complete. A caller gets its 202 only when the job is stored, and until then 504 and never 'not run'. Heartbeats name such jobs, so that no other instance runs them too.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -113,7 +113,10 @@
 	// instance that created the job needs no claim, so there it is set from the
 	// start.
 	Claimed bool
-	Items   []Item
+	// Ahead is set while the job is not stored: its items run, but no chunk is
+	// written.
+	Ahead bool
+	Items []Item
 	// Order holds the indices of Items in the order in which they are started: the
 	// one with the longest expected output first.
 	Order []int
@@ -188,6 +191,14 @@
 		s.addJob(now, e, v)
 	case op.JobOwnershipLost:
 		s.dropJob(e.Job, v, out)
+	case op.JobStored:
+		if j := s.Jobs[e.Job]; j != nil {
+			j.Ahead = false
+		}
+	case op.JobNotStored:
+		if j := s.Jobs[e.Job]; j != nil && j.Ahead {
+			s.release(j, v, out)
+		}
 	case op.JobOutputUnsaved:
 		if j := s.Jobs[e.Job]; j != nil {
 			j.SaveWanted = true
@@ -286,7 +297,7 @@
 		old.Epoch = max(old.Epoch, e.Epoch)
 		return
 	}
-	j := &Job{JobShape: e.Shape, Epoch: e.Epoch, Claimed: e.Epoch <= firstEpoch, Items: make([]Item, len(e.Shape.Items))}
+	j := &Job{JobShape: e.Shape, Epoch: e.Epoch, Ahead: e.Ahead, Claimed: e.Epoch <= firstEpoch && !e.Ahead, Items: make([]Item, len(e.Shape.Items))}
 	for i, it := range e.Shape.Items {
 		j.Items[i] = Item{ItemShape: it, Last: -1}
 		j.Order = append(j.Order, i)
--- a/internal/batch/batch_test.go
+++ b/internal/batch/batch_test.go
@@ -347,3 +347,38 @@
 		t.Errorf("all instances chose %v", chosen)
 	}
 }
+
+func TestJobAheadOfItsStorage(t *testing.T) {
+	f := newFixture(target("t", 4, 1))
+	f.apply(op.JobOwnershipGained{Epoch: 3, Ahead: true, Shape: op.JobShape{
+		ID: "j", Route: "r", Pool: "p", MinVersion: 1, Items: []op.ItemShape{{Model: "m"}},
+	}})
+	if len(f.runs) != 1 {
+		t.Fatalf("%d runs", len(f.runs))
+	}
+	f.end(0, op.ItemComplete, 4)
+	if c := f.chunk(); c != nil {
+		t.Fatalf("wrote %+v before the job was stored", c)
+	}
+	f.apply(op.JobStored{Job: "j"})
+	if c := f.chunk(); c == nil || len(c.Done) != 0 || c.Epoch != 3 {
+		t.Fatalf("claimed with %+v", c)
+	}
+	f.apply(op.ChunkAppended{Job: "j", Result: op.Done, Other: op.ChunkShape{Owner: "a", Epoch: 3}})
+	if c := f.chunk(); c == nil || len(c.Done) != 1 {
+		t.Errorf("listed %+v", c)
+	}
+}
+
+func TestDrainingInstanceDropsJobAheadOfItsStorage(t *testing.T) {
+	f := newFixture(target("t", 4, 1))
+	f.apply(op.JobOwnershipGained{Epoch: 3, Ahead: true, Shape: op.JobShape{
+		ID: "j", Route: "r", Pool: "p", MinVersion: 1, Items: []op.ItemShape{{Model: "m"}},
+	}})
+	f.view.Draining = true
+	f.apply(op.Tick{})
+	f.end(0, op.ItemMoved, 1)
+	if len(f.state.Jobs) != 0 {
+		t.Errorf("jobs are %v", f.state.Jobs)
+	}
+}
--- a/internal/batch/chain.go
+++ b/internal/batch/chain.go
@@ -46,6 +46,12 @@
 	if j.Writing || j.Ended || now < j.RetryAt || j.awaitsRuns() {
 		return
 	}
+	if j.Ahead {
+		if j.Leaving {
+			s.release(j, v, out)
+		}
+		return
+	}
 	e := op.AppendChunk{Job: j.ID, Chunk: j.Chunks, Ended: j.Ending, Epoch: j.Epoch}
 	if !j.Claimed {
 		j.Writing, e.Ended = true, false
--- a/internal/edge/accept.go
+++ b/internal/edge/accept.go
@@ -46,30 +46,51 @@
 		SubmittedAt: int64(cr.p.clock.Wall()), Body: cr.body, Writer: cr.p.state.Self, Try: cr.id,
 	}
 	startedAt := cr.p.clock.Now()
-	switch created, tries, err := cr.p.storeJob(cr.r.Context(), record, job); {
+	write, err := cr.p.newJobWrite(record, job)
+	if err != nil {
+		cr.log("submitted job could not be encoded", logrus.Fields{"Error": err.Error()})
+		cr.respond(op.Respond{Status: http.StatusBadRequest, Reason: op.BadJob, Outcome: unit.NotRun})
+		return
+	}
+	ctx := cr.r.Context()
+	var stored <-chan struct{}
+	if err = write.try(ctx); err != nil {
+		if stored = cr.p.runAhead(ctx, write, cr.headers.Left); stored != nil {
+			err = cr.p.awaitStored(ctx, stored, startedAt+acceptTimeout)
+		} else {
+			err = write.retry(ctx, startedAt+acceptTimeout, err)
+		}
+	}
+	ahead := stored != nil
+	switch {
 	case err == nil:
-		ownDirectly := created && tries == 1 && cr.p.clock.Now()-startedAt < directOwnTimeout
-		cr.answerAccepted(created, ownDirectly, record, job)
-	case notRun(err):
+		quick := write.tries == 1 && cr.p.clock.Now()-startedAt < directOwnTimeout
+		cr.answerAccepted(quick && write.created && !cr.p.runsAhead(job.ID), ahead, write)
+	case notRun(err) && !ahead && !cr.p.runsAhead(job.ID):
 		cr.log("job not stored", logrus.Fields{"Error": err.Error()})
 		cr.respond(op.Respond{Status: http.StatusServiceUnavailable, Reason: op.NotStored, Outcome: unit.NotRun, RetryAfter: jobRetryAfter})
 	default:
-		// The write may still take effect, so the outcome is unknown.
-		cr.log("unknown whether the job was stored", logrus.Fields{"Error": err.Error()})
+		// The write may still take effect, or items run ahead, so the outcome is
+		// unknown.
+		cr.log("unknown whether the job was stored", logrus.Fields{"Error": err.Error(), "Ahead": ahead})
 		cr.respond(op.Respond{Status: http.StatusGatewayTimeout, Reason: op.NotStored, Outcome: unit.Unknown, RetryAfter: jobRetryAfter})
 	}
 }
 
 // answerAccepted answers the submission of a job that is in the store. This
 // instance becomes the job's owner if ownDirectly is set, which means that no
-// other instance can know of the job yet. Else the live instance that ranks first
-// for the job takes it over, unless the job has an owner (see package heartbeat).
-func (cr *callerRequest) answerAccepted(created, ownDirectly bool, record jobRecord, job platform.Job) {
-	if ownDirectly {
-		c := newJobContent(record, job)
+// other instance can know of the job yet. If its items run ahead, the instance
+// that runs them claims the job. Else the live instance that ranks first for the
+// job takes it over, unless the job has an owner (see package heartbeat).
+func (cr *callerRequest) answerAccepted(ownDirectly, ahead bool, write *jobWrite) {
+	job := write.job
+	switch {
+	case ahead:
+	case ownDirectly:
+		c := newJobContent(write.record, job)
 		c.epoch, c.claimed = 1, true
-		cr.p.ownNewJob(cr.r.Context(), c)
-	} else {
+		cr.p.ownNewJob(cr.r.Context(), c, false)
+	default:
 		cr.p.apply(op.StoredJobFound{Job: job.ID})
 	}
 	cr.w.Header().Set("Content-Length", "0")
@@ -77,48 +98,68 @@
 	cr.p.observeDuration("catkinhead_request_seconds", "outcome", "JobAccepted", cr.startedAt)
 	cr.log("job accepted", logrus.Fields{
 		"Job": job.ID, "Step": job.Step, "Model": job.Model, "MinVersion": job.MinVersion, "Items": len(job.Items),
-		"WantGroups": job.WantGroups, "Repeated": !created, "Own": ownDirectly,
+		"WantGroups": job.WantGroups, "Repeated": !write.created, "Own": ownDirectly, "Ahead": ahead,
 	})
 }
 
-// storeJob writes a job's record, with retries. It returns whether this call
-// created the record, which is false if another submission has, and the number
-// of attempts. If notRun is false for the error, the record may have been stored.
-func (p *Process) storeJob(ctx context.Context, record jobRecord, job platform.Job) (created bool, tries int, err error) {
+// jobWrite is the write of a job's record, which may take several attempts.
+type jobWrite struct {
+	p      *Process
+	job    platform.Job
+	record jobRecord
+	value  []byte
+	// tries counts the attempts. maybeWritten is set once one of them may have taken
+	// effect although it failed. created is set if the record in the store is that
+	// of this write, and not of another submission of the job.
+	tries        int
+	maybeWritten bool
+	created      bool
+}
+
+// newJobWrite returns the write of a job's record.
+func (p *Process) newJobWrite(record jobRecord, job platform.Job) (*jobWrite, error) {
 	value, err := json.Marshal(record)
 	if err != nil {
-		return false, 0, fmt.Errorf("encode job: %w", err)
+		return nil, fmt.Errorf("encode job: %w", err)
 	}
-	key := jobsKind + "/" + job.ID
-	giveUpAt := p.clock.Now() + acceptTimeout
-	maybeWritten := false
-	for {
-		tries++
-		_, err = p.deps.Store.Put(ctx, key, value, 0)
-		switch {
-		case err == nil:
-			return true, tries, nil
-		case errors.Is(err, platform.ErrConflict) && !maybeWritten:
-			return false, tries, nil
-		case errors.Is(err, platform.ErrConflict):
-			var ours bool
-			if ours, err = p.wroteRecord(ctx, key, record); err == nil {
-				return ours, tries, nil
-			}
-		}
-		maybeWritten = maybeWritten || !notRun(err)
-		if p.clock.Now() >= giveUpAt || ctx.Err() != nil {
-			break
+	return &jobWrite{p: p, job: job, record: record, value: value}, nil
+}
+
+// try makes an attempt. If it returns nil, the job is in the store. If notRun is
+// false for the error, the record may have been stored.
+func (w *jobWrite) try(ctx context.Context) error {
+	w.tries++
+	key := jobsKind + "/" + w.job.ID
+	_, err := w.p.deps.Store.Put(ctx, key, w.value, 0)
+	switch {
+	case err == nil:
+		w.created = true
+		return nil
+	case errors.Is(err, platform.ErrConflict) && !w.maybeWritten:
+		return nil
+	case errors.Is(err, platform.ErrConflict):
+		if w.created, err = w.p.wroteRecord(ctx, key, w.record); err == nil {
+			return nil
 		}
+	}
+	w.maybeWritten = w.maybeWritten || !notRun(err)
+	if w.maybeWritten && notRun(err) {
+		return fmt.Errorf("an earlier write may have taken effect: %s", err)
+	}
+	return fmt.Errorf("store job: %w", err)
+}
+
+// retry makes further attempts until one succeeds, until a time has come or ctx
+// ends.
+func (w *jobWrite) retry(ctx context.Context, until clock.Millis, err error) error {
+	for err != nil && w.p.clock.Now() < until && ctx.Err() == nil {
 		select {
 		case <-time.After(acceptRetryPause):
+			err = w.try(ctx)
 		case <-ctx.Done():
 		}
 	}
-	if maybeWritten && notRun(err) {
-		return false, tries, fmt.Errorf("an earlier write may have taken effect: %s", err)
-	}
-	return false, tries, fmt.Errorf("store job: %w", err)
+	return err
 }
 
 // wroteRecord reports whether the stored job record was written by this
--- a/internal/edge/content.go
+++ b/internal/edge/content.go
@@ -147,6 +147,20 @@
 	return true
 }
 
+// countUnclaimed returns how many jobs this instance owns under an epoch without a
+// claim.
+func (c *contentStore) countUnclaimed(epoch unit.Epoch) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, j := range c.jobs {
+		if j.epoch == epoch && !j.claimed {
+			n++
+		}
+	}
+	return n
+}
+
 // forgetJob removes a job's content, unless this instance owns the job under a
 // higher epoch than the given one.
 func (c *contentStore) forgetJob(id string, epoch unit.Epoch) {
--- a/internal/edge/heartbeats.go
+++ b/internal/edge/heartbeats.go
@@ -17,7 +17,9 @@
 func (s *State) recordOwnedJobs(now clock.Millis) {
 	s.Heartbeats.ReleaseUnowned(now, func(job string) bool { return s.Batch.Jobs[job] != nil })
 	for _, j := range s.Batch.Jobs {
-		s.Heartbeats.UpdateJob(jobStatusOf(j), s.Environment.Instance)
+		if !j.Ahead {
+			s.Heartbeats.UpdateJob(jobStatusOf(j), s.Environment.Instance)
+		}
 	}
 }
 
@@ -52,7 +54,7 @@
 // if it does not own it.
 func (s *State) ownedEpoch(job string) (unit.Epoch, bool) {
 	j := s.Batch.Jobs[job]
-	if j == nil {
+	if j == nil || j.Ahead {
 		return 0, false
 	}
 	return j.Epoch, true
@@ -119,8 +121,11 @@
 		h.Counts = s.Metering.CountsToSend(s.liveIncarnations(now))
 	}
 	for _, id := range slices.Sorted(maps.Keys(s.Batch.Jobs)) {
-		if j := s.Batch.Jobs[id]; j.Claimed {
+		switch j := s.Batch.Jobs[id]; {
+		case j.Claimed:
 			h.Jobs = append(h.Jobs, jobStatusOf(j))
+		case j.Epoch == aheadEpoch:
+			h.Ahead = append(h.Ahead, id)
 		}
 	}
 	e := op.SendHeartbeats{Heartbeat: h}
--- a/internal/edge/reuse.go
+++ b/internal/edge/reuse.go
@@ -130,12 +130,13 @@
 	return whole
 }
 
-// ownNewJob makes this instance the owner of a job that it has just stored. The
-// job may repeat items of earlier jobs of its series: those of groups that were
+// ownNewJob makes this instance the owner of a job that it has just stored, or
+// that runs ahead of its storage. It returns false if this instance holds the job
+// already. The job may repeat items of earlier jobs of its series: those of groups that were
 // not listed completely in the results there. Texts that the owners of the earlier
 // jobs still have are not generated again.
-func (p *Process) ownNewJob(ctx context.Context, c *jobContent) {
-	gained := op.JobOwnershipGained{Shape: c.shape(), Epoch: 1}
+func (p *Process) ownNewJob(ctx context.Context, c *jobContent, ahead bool) bool {
+	gained := op.JobOwnershipGained{Shape: c.shape(), Epoch: c.epoch, Ahead: ahead}
 	var predecessors []heartbeat.Predecessor
 	if c.series() != 0 {
 		p.withState(func(now clock.Millis, s *State) { predecessors = s.Heartbeats.Predecessors(now, c.series(), c.job.ID) })
@@ -145,9 +146,11 @@
 		gained.Saved = c.lastKeptEvents()
 		gained.Whole, gained.Scored = c.wholeItems()
 	}
-	if p.contents.put(c.job.ID, c) {
-		p.apply(gained)
+	if !p.contents.put(c.job.ID, c) {
+		return false
 	}
+	p.apply(gained)
+	return true
 }
 
 // reuseEarlierTexts copies texts of earlier jobs to a new job.
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -148,7 +148,7 @@
 		s.Batch.Reduce(now, ev, s.batchView(), &out)
 		s.recordOwnedJobs(now)
 		s.sendHeartbeats(now, &out)
-	case op.JobOwnershipLost, op.JobOutputUnsaved, op.ItemRunEnded, op.RewardCallEnded, op.ChunkAppended, op.EndRequested:
+	case op.JobOwnershipLost, op.JobStored, op.JobNotStored, op.JobOutputUnsaved, op.ItemRunEnded, op.RewardCallEnded, op.ChunkAppended, op.EndRequested:
 		owned := len(s.Batch.Jobs)
 		s.Batch.Reduce(now, ev, s.batchView(), &out)
 		if len(s.Batch.Jobs) < owned {
@@ -177,7 +177,7 @@
 	case op.JobClosed:
 		s.Heartbeats.MarkClosed(e.Job)
 	case op.StoredJobFound:
-		s.Heartbeats.AddStoredJob(e.Job)
+		s.storedJobFound(now, e.Job)
 	case op.JobsListed:
 		s.Heartbeats.HandleJobsListed(e)
 	case op.Drain:
@@ -186,6 +186,16 @@
 	return out
 }
 
+// storedJobFound adds a stored job to the list of the fleet's jobs. If a peer runs
+// its items ahead, that peer is about to claim it.
+func (s *State) storedJobFound(now clock.Millis, job string) {
+	if owner, ok := s.Heartbeats.AheadOwner(now, job); ok {
+		s.Heartbeats.UpdateJob(op.JobStatus{ID: job}, owner)
+		return
+	}
+	s.Heartbeats.AddStoredJob(job)
+}
+
 // tick updates what depends on time: leases, takeovers of jobs, runs, orders,
 // usage reports and heartbeats. It reports changes of the lease and of the
 // configuration's freshness.
--- a/internal/edge/store_test.go
+++ b/internal/edge/store_test.go
@@ -127,12 +127,17 @@
 				tt.first(store)
 				return errAnswerLost
 			}
-			created, tries, err := testProcess(store).storeJob(context.Background(), record, job)
-			if err != nil || created != tt.want {
-				t.Errorf("created %v, %v; want %v", created, err, tt.want)
+			p := testProcess(store)
+			w, err := p.newJobWrite(record, job)
+			if err != nil {
+				t.Fatal(err)
 			}
-			if tries < 2 {
-				t.Errorf("%d attempts although the first answer was lost: the instance would own the job without a claim", tries)
+			err = w.retry(context.Background(), p.clock.Now()+acceptTimeout, w.try(context.Background()))
+			if err != nil || w.created != tt.want {
+				t.Errorf("created %v, %v; want %v", w.created, err, tt.want)
+			}
+			if w.tries < 2 {
+				t.Errorf("%d attempts although the first answer was lost: the instance would own the job without a claim", w.tries)
 			}
 		})
 	}
--- a/internal/heartbeat/jobs.go
+++ b/internal/heartbeat/jobs.go
@@ -102,6 +102,16 @@
 // MarkClosed marks a job as closed, so that it is not taken over.
 func (s *State) MarkClosed(id string) { s.UpdateJob(op.JobStatus{ID: id, Closed: true}, "") }
 
+// AheadOwner returns the live peer that runs a job ahead of its storage.
+func (s *State) AheadOwner(now clock.Millis, job string) (unit.Instance, bool) {
+	for _, p := range s.LivePeers(now) {
+		if slices.Contains(p.Ahead, job) {
+			return p.Instance, true
+		}
+	}
+	return "", false
+}
+
 // AddStoredJob adds a job that exists in the store, without an owner, if it is
 // unknown.
 func (s *State) AddStoredJob(id string) {
@@ -117,6 +127,9 @@
 	for _, j := range h.Jobs {
 		listed[j.ID] = true
 	}
+	for _, id := range h.Ahead {
+		listed[id] = true
+	}
 	for id, k := range s.jobs {
 		if k.owner == h.Instance && !listed[id] {
 			k.owner = ""
--- a/internal/op/edge_event.go
+++ b/internal/op/edge_event.go
@@ -150,8 +150,18 @@
 	// those of them whose reward call needs no repetition, since its score is
 	// known.
 	Whole, Scored []int
+	// Ahead is set if the job is not stored yet: its items run, but nothing is
+	// listed before JobStored.
+	Ahead bool
 }
 
+// JobStored means that a job whose items ran ahead is in the store now.
+type JobStored struct{ Job string }
+
+// JobNotStored means that this instance has given up storing a job whose items run
+// ahead.
+type JobNotStored struct{ Job string }
+
 // JobOwnershipLost means that a heartbeat has shown another owner of the job
 // with a higher epoch, so that this instance is no longer the owner.
 type JobOwnershipLost struct{ Job string }
@@ -319,6 +329,8 @@
 	Holder bool
 	// Jobs are the jobs that the sender owns and has claimed.
 	Jobs []JobStatus `json:",omitempty"`
+	// Ahead are the jobs that the sender runs although they are not stored yet.
+	Ahead []string `json:",omitempty"`
 	// Orphans are the jobs that have no owner as far as the sender knows.
 	Orphans []string `json:",omitempty"`
 	// Counts are the sender's own counts and those of incarnations that have
@@ -395,6 +407,8 @@
 func (VersionReported) event()      {}
 func (JobOwnershipGained) event()   {}
 func (JobOwnershipLost) event()     {}
+func (JobStored) event()            {}
+func (JobNotStored) event()         {}
 func (JobOutputUnsaved) event()     {}
 func (ItemRunEnded) event()         {}
 func (RewardCallEnded) event()      {}
