--- a/internal/edge/accept.go
+++ b/internal/edge/accept.go
@@ -55,7 +55,7 @@
 	ctx := cr.r.Context()
 	var stored <-chan struct{}
 	if err = write.try(ctx); err != nil {
-		if stored = cr.p.runAhead(ctx, write, cr.headers.Left); stored != nil {
+		if stored = cr.p.runAhead(ctx, write); stored != nil {
 			err = cr.p.awaitStored(ctx, stored, startedAt+acceptTimeout)
 		} else {
 			err = write.retry(ctx, startedAt+acceptTimeout, err)
--- a/internal/edge/ahead.go
+++ b/internal/edge/ahead.go
@@ -22,8 +22,8 @@
 	// ahead. It is higher than those of the instance that stored the job and of a
 	// first takeover, which have fewer texts.
 	aheadEpoch unit.Epoch = 3
-	// maxAheadTime is how long a job runs ahead at most. After that its caller has
-	// given up.
+	// maxAheadTime is how long a job runs ahead at most. Trainers submit a job again
+	// for about that long, with attempts of a second or two each.
 	maxAheadTime = 12 * clock.Second
 	// maxAheadJobs is how many jobs an instance runs ahead at the same time. Their
 	// contents are kept in memory.
@@ -34,10 +34,10 @@
 var errNotStored = errors.New("job is not stored yet")
 
 // runAhead starts the items of a job that could not be stored at the first
-// attempt, and goes on storing it as long as its caller may submit it again. The
-// channel is closed once the job is stored. It is nil if this instance or a peer
-// holds or runs the job already, or if too many jobs run ahead.
-func (p *Process) runAhead(ctx context.Context, w *jobWrite, left clock.Millis) <-chan struct{} {
+// attempt, and goes on storing it for maxAheadTime. The channel is closed once the
+// job is stored. It is nil if this instance or a peer holds or runs the job already,
+// or if too many jobs run ahead.
+func (p *Process) runAhead(ctx context.Context, w *jobWrite) <-chan struct{} {
 	if p.runsAhead(w.job.ID) || p.contents.countUnclaimed(aheadEpoch) >= maxAheadJobs {
 		return nil
 	}
@@ -46,8 +46,8 @@
 	if !p.ownNewJob(ctx, c, true) {
 		return nil
 	}
-	until := p.clock.Now() + min(max(left, acceptTimeout), maxAheadTime)
-	p.log.WithFields(logrus.Fields{"Job": w.job.ID, "Items": len(w.job.Items), "LeftMillis": until - p.clock.Now()}).Info("job runs ahead: the store has not taken it")
+	until := p.clock.Now() + maxAheadTime
+	p.log.WithFields(logrus.Fields{"Job": w.job.ID, "Items": len(w.job.Items)}).Info("job runs ahead: the store has not taken it")
 	stored := make(chan struct{})
 	p.tasks.Go(func(ctx context.Context) {
 		if err := w.retry(ctx, until, errNotStored); err != nil {
--- a/internal/edge/ahead_test.go
+++ b/internal/edge/ahead_test.go
@@ -99,13 +99,13 @@
 func TestJobRunsWhileTheStoreIsAway(t *testing.T) {
 	p, store, storeBack := aheadProcess(t)
 	w := aheadWrite(t, p)
-	stored := p.runAhead(context.Background(), w, 12*clock.Second)
+	stored := p.runAhead(context.Background(), w)
 	if stored == nil {
 		t.Fatal("the job does not run ahead")
 	}
 	runs := &p.deps.Backends.(*oneEventBackends).runs
 	eventually(t, "both items run", func() bool { return runs.Load() == 2 })
-	if again := p.runAhead(context.Background(), w, 12*clock.Second); again != nil {
+	if again := p.runAhead(context.Background(), w); again != nil {
 		t.Error("a repeated submission runs the job again")
 	}
 	if _, ok := store.chunkAt(0); ok {
@@ -135,7 +135,7 @@
 func TestJobThatRanAheadIsClaimedFromTheInstanceThatStoredIt(t *testing.T) {
 	p, store, storeBack := aheadProcess(t)
 	w := aheadWrite(t, p)
-	stored := p.runAhead(context.Background(), w, 12*clock.Second)
+	stored := p.runAhead(context.Background(), w)
 	storeBack()
 	for key, value := range map[string]any{
 		jobsKind + "/" + testJob: jobRecord{Writer: "b#1", Body: json.RawMessage("{}")},
@@ -161,7 +161,7 @@
 func TestJobThatIsNeverStoredEnds(t *testing.T) {
 	p, _, _ := aheadProcess(t)
 	w := aheadWrite(t, p)
-	if p.runAhead(context.Background(), w, 0) == nil {
+	if p.runAhead(context.Background(), w) == nil {
 		t.Fatal("the job does not run ahead")
 	}
 	p.apply(op.JobNotStored{Job: testJob})
@@ -174,7 +174,7 @@
 	p, _, _ := aheadProcess(t)
 	w := aheadWrite(t, p)
 	p.apply(op.HeartbeatReceived{Heartbeat: op.Heartbeat{Instance: "b", Incarnation: "b#1", Seq: 1, Ahead: []string{testJob}}})
-	if p.runAhead(context.Background(), w, 12*clock.Second) != nil {
+	if p.runAhead(context.Background(), w) != nil {
 		t.Error("the job runs twice")
 	}
 	if !p.runsAhead(testJob) {
