--- a/internal/edge/ahead_test.go
+++ b/internal/edge/ahead_test.go
@@ -170,6 +170,15 @@
 	}
 }
 
+func TestStoredJobDoesNotRunAhead(t *testing.T) {
+	p, _, _ := aheadProcess(t)
+	w := aheadWrite(t, p)
+	p.apply(op.HeartbeatReceived{Heartbeat: op.Heartbeat{Instance: "b", Incarnation: "b#1", Seq: 1, Jobs: []op.JobStatus{{ID: testJob, Epoch: 1}}}})
+	if p.runAhead(context.Background(), w) != nil {
+		t.Error("a job that a peer owns runs ahead")
+	}
+}
+
 func TestJobThatAPeerRunsAheadIsNotRunAgain(t *testing.T) {
 	p, _, _ := aheadProcess(t)
 	w := aheadWrite(t, p)
--- a/internal/heartbeat/jobs.go
+++ b/internal/heartbeat/jobs.go
@@ -102,6 +102,9 @@
 // MarkClosed marks a job as closed, so that it is not taken over.
 func (s *State) MarkClosed(id string) { s.UpdateJob(op.JobStatus{ID: id, Closed: true}, "") }
 
+// Known reports whether a job is in the list of the fleet's jobs.
+func (s *State) Known(job string) bool { return s.jobs[job] != nil }
+
 // AheadOwner returns the live peer that runs a job ahead of its storage.
 func (s *State) AheadOwner(now clock.Millis, job string) (unit.Instance, bool) {
 	for _, p := range s.LivePeers(now) {
