--- a/internal/modelversion/modelversion.go
+++ b/internal/modelversion/modelversion.go
@@ -212,12 +212,27 @@
 	}
 }
 
-// sendOrders sends the orders that are due, up to the limit of concurrent loads.
-// Orders for mandatory loads are sent before those for optional ones.
+// urgency says how soon a target should load the wanted version of its model.
+type urgency int
+
+const (
+	// noLoad means that the target should not load the version now.
+	noLoad urgency = iota
+	// optional loads let the target run the newest version. The present one still
+	// fits the next job.
+	optional
+	// mandatory loads are those without which the target cannot run the next job.
+	mandatory
+	// awaited loads are those for which items wait that no target can run.
+	awaited
+)
+
+// sendOrders sends the orders that are due, up to the limit of concurrent loads,
+// the most urgent ones first.
 func (s *State) sendOrders(now clock.Millis, targets []*roster.Target, v View, out *op.List) {
 	loading := s.pruneOrders(now, targets)
 	maxLoads := max(minConcurrentLoads, len(targets)/loadsDivisor)
-	for _, mandatory := range []bool{true, false} {
+	for _, level := range []urgency{awaited, mandatory, optional} {
 		for _, t := range targets {
 			if loading >= maxLoads {
 				return
@@ -226,7 +241,7 @@
 			if o := s.orders[t.Target]; o != nil && (o.inFlight || now < o.retryAt) {
 				continue
 			}
-			if !s.shouldLoad(now, t, m, targets, mandatory, v) {
+			if s.loadUrgency(now, t, m, targets, v) != level {
 				continue
 			}
 			s.orders[t.Target] = &order{model: m, version: s.Wanted[m], inFlight: true}
@@ -260,9 +275,8 @@
 	return loading
 }
 
-// shouldLoad reports whether a target should load the wanted version of its model
-// now. It considers only mandatory loads if mandatory is set, and only optional
-// ones otherwise.
+// loadUrgency returns how urgently a target should load the wanted version of its
+// model.
 //
 // Jobs accept versions that are up to versionSlack older than the newest one. A
 // load is mandatory if the target's present version is too old for the next job or
@@ -270,19 +284,22 @@
 // the version, and they defer it until no item is waiting, at most by
 // maxLoadDeferral. So with each new version, half of the targets can run the new
 // job immediately, and only half of the loads are needed.
-func (s *State) shouldLoad(now clock.Millis, t *roster.Target, m unit.Model, targets []*roster.Target, mandatory bool, v View) bool {
+func (s *State) loadUrgency(now clock.Millis, t *roster.Target, m unit.Model, targets []*roster.Target, v View) urgency {
 	wanted := s.Wanted[m]
 	has := t.VersionOf(m)
 	if has >= wanted {
-		return false
+		return noLoad
 	}
 	demand := s.demand(m, v)
 	s.updateNewestOnly(now, m, demand)
+	if has < demand.MinWaiting && !s.served(m, demand.MinWaiting, targets) {
+		return awaited
+	}
 	if has+s.versionSlack(m) < wanted || has < demand.MinWaiting {
 		return mandatory
 	}
-	if mandatory || now < s.wantedSince[m]+jobDiscoveryLag {
-		return false
+	if now < s.wantedSince[m]+jobDiscoveryLag {
+		return noLoad
 	}
 	newest, all := 0, 0
 	for _, other := range targets {
@@ -294,10 +311,22 @@
 			newest++
 		}
 	}
-	if newest >= (all+1)/2 {
-		return false
+	if newest >= (all+1)/2 || demand.Waiting > 0 && now < s.wantedSince[m]+maxLoadDeferral {
+		return noLoad
+	}
+	return optional
+}
+
+// served reports whether any target has a version of a model, or has been ordered
+// to load it.
+func (s *State) served(m unit.Model, version unit.Version, targets []*roster.Target) bool {
+	for _, t := range targets {
+		pending := s.orders[t.Target]
+		if t.VersionOf(m) >= version || pending != nil && pending.model == m && pending.version >= version {
+			return true
+		}
 	}
-	return demand.Waiting == 0 || now >= s.wantedSince[m]+maxLoadDeferral
+	return false
 }
 
 // demand sums up the demand for a model over all instances.
--- a/internal/modelversion/modelversion_test.go
+++ b/internal/modelversion/modelversion_test.go
@@ -204,3 +204,20 @@
 		f.state.Advance(f.now, f.view, &out)
 	}
 }
+
+// TestAwaitedLoadsComeFirst plays a holder that learns of several versions at
+// once, after it could not reach the store: items of one model wait that no target
+// can run.
+func TestAwaitedLoadsComeFirst(t *testing.T) {
+	f := newFixture(t, 6, "a", "b", "c")
+	f.view.Demands = []op.Demand{{Model: "c", Newest: 4, Waiting: 9, MinWaiting: 4, Open: 9}}
+	f.view.Until = 0
+	for _, m := range []unit.Model{"a", "b", "c"} {
+		f.apply(op.VersionWanted{Model: m, Version: 5})
+	}
+	f.view.Until = 1 << 40
+	f.apply(op.Tick{})
+	if len(f.loading) == 0 || f.loading[0].Model != "c" {
+		t.Errorf("ordered %+v", f.loading)
+	}
+}
