edge: lose no results or parts that a chunk has no room for

Found by reading: a final chunk dropped results that did not fit, a hand-over dropped parts, and three ways out of the write of a chunk reported no end, so the job never wrote again. A shortened chunk is now followed by another one, one whose results were cut does not end the job, and each write reports its end.

--- a/internal/batch/batch_test.go
+++ b/internal/batch/batch_test.go
@@ -382,3 +382,23 @@
 		t.Errorf("jobs are %v", f.state.Jobs)
 	}
 }
+
+func TestHandOverWritesAllParts(t *testing.T) {
+	f := newFixture(target("t", 4, 1))
+	f.ownJob(1, op.ItemShape{}, op.ItemShape{})
+	f.view.Draining = true
+	f.apply(op.Tick{})
+	f.end(0, op.ItemMoved, 5)
+	f.end(1, op.ItemMoved, 5)
+	if c := f.chunk(); c == nil || !c.Save {
+		t.Fatalf("wrote %+v", c)
+	}
+	f.apply(op.ChunkAppended{Job: "j", Result: op.Done, Other: op.ChunkShape{Owner: "a", Epoch: 1}, Shortened: true})
+	if c := f.chunk(); c == nil || !c.Save {
+		t.Fatalf("the job was released before all parts were written: %+v", f.out)
+	}
+	f.apply(op.ChunkAppended{Job: "j", Chunk: 1, Result: op.Done, Other: op.ChunkShape{Owner: "a", Epoch: 1}})
+	if len(f.state.Jobs) != 0 {
+		t.Error("the job was not released")
+	}
+}
--- a/internal/batch/chain.go
+++ b/internal/batch/chain.go
@@ -131,6 +131,7 @@
 	j.Writing = false
 	switch e.Result {
 	case op.Done, op.Conflict:
+		j.SaveWanted = j.SaveWanted || e.Shortened
 		s.adopt(j, e.Other, v, out)
 		s.resolveOwnership(j, e, v, out)
 	default:
--- a/internal/edge/content_test.go
+++ b/internal/edge/content_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"encoding/json"
 	"strings"
 	"testing"
@@ -113,9 +114,45 @@
 
 func TestFitChunkLimitsSize(t *testing.T) {
 	long := strings.Repeat("x", maxChunkBytes)
-	c := fitChunk(chunkRecord{Results: []platform.Result{{ID: "i0", Text: long}, {ID: "i1", Text: long}}})
-	if len(c.Results) != 1 {
-		t.Errorf("%d results in a chunk", len(c.Results))
+	c, shortened := fitChunk(chunkRecord{Ended: true, Results: []platform.Result{{ID: "i0", Text: long}, {ID: "i1", Text: long}}})
+	if len(c.Results) != 1 || !shortened {
+		t.Errorf("%d results in a chunk, shortened %t", len(c.Results), shortened)
+	}
+	if c.Ended {
+		t.Error("the job ends although a result is not listed")
+	}
+	parts := []partRecord{{ID: "i0", Events: []string{long}}, {ID: "i1", Events: []string{"x"}}}
+	if c, shortened := fitChunk(chunkRecord{Parts: parts}); len(c.Parts) != 1 || !shortened {
+		t.Errorf("%d parts in a chunk, shortened %t", len(c.Parts), shortened)
+	}
+	if _, shortened := fitChunk(chunkRecord{Parts: parts[1:]}); shortened {
+		t.Error("a short chunk was shortened")
+	}
+}
+
+// TestEachWriteOfAChunkEnds guards against a job whose next chunk is never written,
+// because the end of the last write was not reported.
+func TestEachWriteOfAChunkEnds(t *testing.T) {
+	tests := map[string]func(p *Process){
+		"content dropped": func(p *Process) { p.contents.forgetJob(testJob, 1) },
+		"other chunk":     func(p *Process) { p.contents.withJob(testJob, func(c *jobContent) { c.chunks = 5 }) },
+		"store away": func(p *Process) {
+			p.deps.Store.(*memoryStore).beforePut = func(string) error { return errStoreAway }
+		},
+	}
+	for name, breakIt := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := testProcess(&memoryStore{})
+			c := newJobContent(jobRecord{}, testItems(1))
+			c.epoch, c.claimed = 1, true
+			p.ownNewJob(context.Background(), c, false)
+			p.state.Batch.Jobs[testJob].Writing = true
+			breakIt(p)
+			p.appendChunk(context.Background(), op.AppendChunk{Job: testJob})
+			if j := p.state.Batch.Jobs[testJob]; j.Writing {
+				t.Error("the job still waits for the end of the write")
+			}
+		})
 	}
 }
 
--- a/internal/edge/jobs.go
+++ b/internal/edge/jobs.go
@@ -125,29 +125,36 @@
 
 // appendChunk stores the next chunk of a job's results. If another owner has
 // stored a chunk under that number, it adds that chunk to the job's content
-// instead.
+// instead. Whatever happens, it applies ChunkAppended.
 func (p *Process) appendChunk(ctx context.Context, e op.AppendChunk) {
+	event, err := p.storeChunk(ctx, e)
+	if err != nil {
+		p.log.WithFields(logrus.Fields{"Job": e.Job, "Chunk": e.Chunk, "Error": err.Error()}).Warn("results not stored")
+		event = op.ChunkAppended{Job: e.Job, Chunk: e.Chunk, Result: op.Lost}
+	}
+	p.apply(event)
+}
+
+// storeChunk is appendChunk without the event.
+func (p *Process) storeChunk(ctx context.Context, e op.AppendChunk) (op.ChunkAppended, error) {
+	event := op.ChunkAppended{Job: e.Job, Chunk: e.Chunk, Result: op.Done}
 	var chunk chunkRecord
 	if !p.contents.withJob(e.Job, func(c *jobContent) { chunk = c.buildChunk(e) }) {
-		return
+		return event, errors.New("job content is no longer held")
 	}
-	chunk = fitChunk(chunk)
+	chunk, event.Shortened = fitChunk(chunk)
 	chunk.Owner = p.environment.Instance
 	value, err := json.Marshal(chunk)
 	if err != nil {
-		p.log.WithFields(logrus.Fields{"Job": e.Job, "Error": err.Error()}).Error("results not encoded")
-		return
+		return event, fmt.Errorf("encode results: %w", err)
 	}
 	_, err = p.deps.Store.Put(ctx, chunkKey(e.Job, e.Chunk), value, 0)
-	event := op.ChunkAppended{Job: e.Job, Chunk: e.Chunk, Result: op.Done}
 	if errors.Is(err, platform.ErrConflict) {
-		event.Result = op.Conflict
+		event.Result, event.Shortened = op.Conflict, false
 		chunk, err = p.readChunk(ctx, e.Job, e.Chunk)
 	}
 	if err != nil {
-		p.log.WithFields(logrus.Fields{"Job": e.Job, "Chunk": e.Chunk, "Error": err.Error()}).Warn("results not stored")
-		p.apply(op.ChunkAppended{Job: e.Job, Chunk: e.Chunk, Result: op.Lost})
-		return
+		return event, fmt.Errorf("store results: %w", err)
 	}
 	added := false
 	p.contents.withJob(e.Job, func(c *jobContent) {
@@ -158,9 +165,10 @@
 		}
 		event.Other, added = c.addChunk(e.Chunk, chunk)
 	})
-	if added {
-		p.apply(event)
+	if !added {
+		return event, errors.New("job content does not end before this chunk")
 	}
+	return event, nil
 }
 
 // readChunk reads a chunk that another owner stored.
@@ -176,29 +184,28 @@
 	return chunk, nil
 }
 
-// fitChunk shortens a chunk to the size limit of an object. What it cuts off is
-// stored with a later chunk. It is not stored at all if this chunk ends the job.
-// Nor are parts if no result is cut off and the job is handed over after this
-// chunk.
-func fitChunk(c chunkRecord) chunkRecord {
-	size := 0
+// fitChunk shortens a chunk to the size limit of an object, and reports whether it
+// did. What it cuts off is stored with a later chunk, so a chunk whose results are
+// cut does not end the job.
+func fitChunk(c chunkRecord) (chunkRecord, bool) {
+	size, shortened := 0, false
 	for i, part := range c.Parts {
 		for _, ev := range part.Events {
 			size += len(ev)
 		}
 		if size > maxChunkBytes/2 && i > 0 {
-			c.Parts = c.Parts[:i]
+			c.Parts, shortened = c.Parts[:i], true
 			break
 		}
 	}
 	for i, r := range c.Results {
 		size += len(r.Text)
 		if size > maxChunkBytes && i > 0 {
-			c.Results = c.Results[:i]
+			c.Results, c.Ended, shortened = c.Results[:i], false, true
 			break
 		}
 	}
-	return c
+	return c, shortened
 }
 
 // jobAnswer is the answer to a call about a job. Status 0 means that there is
--- a/internal/op/edge_event.go
+++ b/internal/op/edge_event.go
@@ -251,6 +251,9 @@
 	Chunk  int
 	Result Result
 	Other  ChunkShape
+	// Shortened is set if the chunk did not have room for all that AppendChunk asked
+	// for. The rest is still to be written.
+	Shortened bool
 }
 
 // EndRequested means that a caller has asked to end a job. JobEnded with the
