all: split large files and remove what nothing uses

batch.go, content.go's neighbours, items.go, jobs.go and accept.go are split by what they do: job, workload, eventtime, chunks, jobwrite. The marks of items that have a result are set now (nothing set them); a limit, a field, a method and a record of the soak that nothing read are gone.

--- a/internal/batch/placement.go
+++ b/internal/batch/placement.go
@@ -82,42 +82,6 @@
 	}
 }
 
-// workload is the work of the targets, in tokens of output. The longer the outputs
-// that a target generates at the same time, the slower it generates each.
-type workload struct {
-	// own is the expected output of the items that this instance runs.
-	own map[unit.Target]int
-	// mean is the mean expected output of an item. It is assumed for the runs of
-	// other instances.
-	mean int
-}
-
-// workloadFor returns the work of the targets, with the mean of a job's items.
-func (s *State) workloadFor(j *Job) workload {
-	load := workload{own: make(map[unit.Target]int), mean: 1}
-	for _, other := range s.Jobs {
-		for i := range other.Items {
-			if it := &other.Items[i]; it.Phase == running {
-				load.own[it.Target] += it.work()
-			}
-		}
-	}
-	sum := 0
-	for i := range j.Items {
-		sum += j.Items[i].work()
-	}
-	load.mean = max(sum/max(len(j.Items), 1), 1)
-	return load
-}
-
-// work returns the expected output of an item in tokens, at least 1.
-func (it *Item) work() int { return max(it.Expected, 1) }
-
-// of returns the work of a target for each of its slots.
-func (l workload) of(t *roster.Target) int {
-	return (l.own[t.Target] + t.Elsewhere*l.mean) / max(t.Slots, 1)
-}
-
 // pickTarget returns the best target with a free slot that can run an item, nil
 // if there is none. Targets that are not slow come first, then those with the
 // least work. Instances order equal targets differently, so that those that start
--- /dev/null
+++ b/internal/edge/chunks.go
@@ -0,0 +1,98 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/catkinhead/catkinhead/internal/op"
+	"github.com/catkinhead/catkinhead/pkg/platform"
+)
+
+// appendChunk stores the next chunk of a job's results. If another owner has
+// stored a chunk under that number, it adds that chunk to the job's content
+// instead. Whatever happens, it applies ChunkAppended.
+func (p *Process) appendChunk(ctx context.Context, e op.AppendChunk) {
+	event, err := p.storeChunk(ctx, e)
+	if err != nil {
+		p.log.WithFields(logrus.Fields{"Job": e.Job, "Chunk": e.Chunk, "Error": err.Error()}).Warn("results not stored")
+		event = op.ChunkAppended{Job: e.Job, Chunk: e.Chunk, Result: op.Lost}
+	}
+	p.apply(event)
+}
+
+// storeChunk is appendChunk without the event.
+func (p *Process) storeChunk(ctx context.Context, e op.AppendChunk) (op.ChunkAppended, error) {
+	event := op.ChunkAppended{Job: e.Job, Chunk: e.Chunk, Result: op.Done}
+	var chunk chunkRecord
+	if !p.contents.withJob(e.Job, func(c *jobContent) { chunk = c.buildChunk(e) }) {
+		return event, errors.New("job content is no longer held")
+	}
+	chunk, event.Shortened = fitChunk(chunk)
+	chunk.Owner = p.environment.Instance
+	value, err := json.Marshal(chunk)
+	if err != nil {
+		return event, fmt.Errorf("encode results: %w", err)
+	}
+	_, err = p.deps.Store.Put(ctx, chunkKey(e.Job, e.Chunk), value, 0)
+	if errors.Is(err, platform.ErrConflict) {
+		event.Result, event.Shortened = op.Conflict, false
+		chunk, err = p.readChunk(ctx, e.Job, e.Chunk)
+	}
+	if err != nil {
+		return event, fmt.Errorf("store results: %w", err)
+	}
+	added := false
+	p.contents.withJob(e.Job, func(c *jobContent) {
+		if event.Result == op.Done {
+			// The texts of the parts are in the content already.
+			c.markSaved(chunk.Parts)
+			chunk.Parts = nil
+		}
+		event.Other, added = c.addChunk(e.Chunk, chunk)
+	})
+	if !added {
+		return event, errors.New("job content does not end before this chunk")
+	}
+	return event, nil
+}
+
+// readChunk reads a chunk that another owner stored.
+func (p *Process) readChunk(ctx context.Context, job string, n int) (chunkRecord, error) {
+	var chunk chunkRecord
+	o, err := p.deps.Store.Get(ctx, chunkKey(job, n))
+	if err != nil {
+		return chunk, fmt.Errorf("read results of another owner: %w", err)
+	}
+	if err := json.Unmarshal(o.Value, &chunk); err != nil {
+		return chunk, fmt.Errorf("decode results: %w", err)
+	}
+	return chunk, nil
+}
+
+// fitChunk shortens a chunk to the size limit of an object, and reports whether it
+// did. What it cuts off is stored with a later chunk, so a chunk whose results are
+// cut does not end the job.
+func fitChunk(c chunkRecord) (chunkRecord, bool) {
+	size, shortened := 0, false
+	for i, part := range c.Parts {
+		for _, ev := range part.Events {
+			size += len(ev)
+		}
+		if size > maxChunkBytes/2 && i > 0 {
+			c.Parts, shortened = c.Parts[:i], true
+			break
+		}
+	}
+	for i, r := range c.Results {
+		size += len(r.Text)
+		if size > maxChunkBytes && i > 0 {
+			c.Results, c.Ended, shortened = c.Results[:i], false, true
+			break
+		}
+	}
+	return c, shortened
+}
--- a/internal/edge/content.go
+++ b/internal/edge/content.go
@@ -41,7 +41,7 @@
 	ended   bool
 	// texts are the outputs of the items, by their positions in job.Items.
 	texts []itemText
-	// listed is meant to mark the items that have a result, but is never set.
+	// listed marks the items that have a result.
 	listed []bool
 	// changed is closed and replaced whenever a chunk is added. It is also closed
 	// when the content is removed.
@@ -230,7 +230,7 @@
 		j.results = append(j.results, r)
 		if i, ok := j.index[r.ID]; ok {
 			shape.Items = append(shape.Items, i)
-			j.texts[i].events = nil
+			j.texts[i].events, j.listed[i] = nil, true
 		}
 	}
 	j.ended = j.ended || chunk.Ended
@@ -298,8 +298,7 @@
 }
 
 // lastKeptEvents returns, by the position of the item in the job, the lastEvent
-// of each item for which it is set. It includes items that have a result, since
-// listed is never set.
+// of each item without a result for which it is set.
 func (j *jobContent) lastKeptEvents() map[int]int64 {
 	out := make(map[int]int64)
 	for i := range j.texts {
@@ -377,13 +376,3 @@
 	}
 	return s
 }
-
-// hasResult reports whether an item has a result.
-func (j *jobContent) hasResult(id string) bool {
-	for _, r := range j.results {
-		if r.ID == id {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -36,9 +36,6 @@
 	// maxRelayBodyBytes bounds the body of a relayed call, in bytes. The store's
 	// objects are at most a megabyte.
 	maxRelayBodyBytes = 4 << 20
-	// relayTimeout bounds a relayed call, in addition to the sender's own limit.
-	// It is not in use.
-	relayTimeout = 35 * time.Second
 )
 
 // Relay is an HTTP transport for calls to the store. It makes them directly,
--- a/internal/op/edge_effect.go
+++ b/internal/op/edge_effect.go
@@ -38,8 +38,6 @@
 type ServeJobCall struct {
 	Call      CallID
 	Workspace unit.Workspace
-	// Open is unused: nothing sets or reads it.
-	Open bool
 }
 
 // Respond answers a caller with a status of this instance, not of a target.
--- a/internal/op/edge_event.go
+++ b/internal/op/edge_event.go
@@ -143,8 +143,7 @@
 	// Chunks are the stored chunks of the job's results.
 	Chunks []ChunkShape
 	// Saved maps items, by their position in the job, to the ID of the last
-	// output event that this instance has. It may include items that have a
-	// result.
+	// output event that this instance has.
 	Saved map[int]int64
 	// Whole are the items whose complete output this instance has. Scored are
 	// those of them whose reward call needs no repetition, since its score is
