batch: look for targets of reward calls only when one can be sent

Cause: each event of a job looked at all its items that wait for a reward call, and sorted the names of all targets up to six times for each.

Change: usable targets are kept sorted until one changes; a job remembers when its next reward call can be sent, and that its groups were found incomplete with so many results; nothing is computed for items that wait while no slot is free.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -232,7 +232,7 @@
 	}
 	for _, i := range e.Whole {
 		if j.Items[i].Phase == waiting {
-			j.Items[i].outputComplete(now)
+			j.outputComplete(now, &j.Items[i])
 		}
 	}
 	for _, i := range e.Scored {
@@ -263,7 +263,7 @@
 	case running:
 		it.Phase = waiting
 	case scoring:
-		it.Phase = unscored
+		it.Phase, j.rewardsDueAt = unscored, 0
 	default:
 		return
 	}
@@ -292,7 +292,7 @@
 	v.Roster.AttemptEnded(now, e.Target, e.End == op.ItemBroken)
 	switch e.End {
 	case op.ItemComplete:
-		it.outputComplete(now)
+		j.outputComplete(now, it)
 		delete(s.Cooldowns, targetModel{e.Target, it.Model})
 	case op.ItemBroken:
 		it.Barren++
--- a/internal/batch/chain.go
+++ b/internal/batch/chain.go
@@ -74,9 +74,17 @@
 		}
 		return
 	}
-	if now < j.AppendAt && !j.Ending && !j.Leaving && !j.completesJobOrGroups(ready) {
-		return
+	if now < j.AppendAt && !j.Ending && !j.Leaving {
+		// Groups become complete only with further results.
+		if ready == j.incomplete {
+			return
+		}
+		if !j.completesJobOrGroups(ready) {
+			j.incomplete = ready
+			return
+		}
 	}
+	j.incomplete = -1
 	e.Save = j.Leaving
 	j.Writing, j.SaveWanted = true, false
 	j.AppendAt, j.SaveAt = now+appendInterval, now+minSaveInterval
@@ -165,6 +173,7 @@
 // requests that wait for the end are answered.
 func (s *State) adopt(j *Job, c op.ChunkShape, v View, out *op.List) {
 	j.Chunks++
+	j.incomplete = -1
 	for _, i := range c.Items {
 		if i < 0 || i >= len(j.Items) || j.Items[i].Phase == listed {
 			continue
--- a/internal/batch/placement.go
+++ b/internal/batch/placement.go
@@ -62,6 +62,9 @@
 			continue
 		}
 		if load.own == nil {
+			if !v.Roster.AnyFree(j.Pool) {
+				return
+			}
 			load = s.workloadFor(j)
 		}
 		t := s.pickTarget(now, j, it, load, v)
--- a/internal/batch/reward.go
+++ b/internal/batch/reward.go
@@ -23,6 +23,11 @@
 	// answer after which the next one is delayed. Until then it is sent to another
 	// target at once.
 	breaksBeforeRewardBackoff = 2
+	// rewardRetryDelay is how long a job's reward calls wait after no target had a
+	// free slot, unless one of its own calls ends before.
+	rewardRetryDelay clock.Millis = 20
+	// never is later than any time.
+	never clock.Millis = 1 << 62
 	// maxRewardBackoff is the upper bound of that delay.
 	maxRewardBackoff clock.Millis = clock.Second
 )
@@ -40,10 +45,10 @@
 }
 
 // outputComplete records that the output of an item is complete.
-func (it *Item) outputComplete(now clock.Millis) {
+func (j *Job) outputComplete(now clock.Millis, it *Item) {
 	it.Phase = done
 	if it.ItemShape.Reward.Path != "" {
-		it.Phase, it.NotBefore = unscored, now
+		it.Phase, it.NotBefore, j.rewardsDueAt = unscored, now, now
 		it.Reward = rewardCall{Since: now}
 	}
 }
@@ -54,14 +59,26 @@
 	if j.Ending || j.Leaving || v.Table == nil {
 		return
 	}
-	for _, i := range j.dueRewardCalls(now) {
+	if now < j.rewardsDueAt {
+		return
+	}
+	due, next := j.dueRewardCalls(now)
+	j.rewardsDueAt = next
+	if len(due) == 0 {
+		return
+	}
+	full := make(map[unit.Pool]bool)
+	for _, i := range due {
 		it := &j.Items[i]
 		rule, ok := v.Table.Match(it.ItemShape.Reward.Host, it.ItemShape.Reward.Path)
-		if !ok {
-			continue
+		pool := s.split.Pick(rule)
+		var t *roster.Target
+		if ok && !full[pool] {
+			t = it.Reward.pickTarget(now, pool, v)
+			full[pool] = t == nil
 		}
-		t := it.Reward.pickTarget(now, s.split.Pick(rule), v)
 		if t == nil {
+			j.rewardsDueAt = min(j.rewardsDueAt, now+rewardRetryDelay)
 			continue
 		}
 		s.lastRun++
@@ -86,27 +103,33 @@
 	return nil
 }
 
-// dueRewardCalls returns the items whose reward call can be sent now. Those that
-// leave the fewest items of their group unfinished come first.
-func (j *Job) dueRewardCalls(now clock.Millis) []int {
-	var due []int
+// dueRewardCalls returns the items whose reward call can be sent now, and when the
+// next one of the others can. Those that leave the fewest items of their group
+// unfinished come first.
+func (j *Job) dueRewardCalls(now clock.Millis) (due []int, next clock.Millis) {
+	next = never
+	for i := range j.Items {
+		switch it := &j.Items[i]; {
+		case it.Phase != unscored:
+		case now >= it.NotBefore:
+			due = append(due, i)
+		default:
+			next = min(next, it.NotBefore)
+		}
+	}
+	if len(due) < 2 {
+		return due, next
+	}
 	unfinished := make(map[string]int)
 	for i := range j.Items {
-		it := &j.Items[i]
-		switch it.Phase {
-		case unscored:
-			if now >= it.NotBefore {
-				due = append(due, i)
-			}
-			unfinished[it.Group]++
-		case waiting, running, scoring:
+		if it := &j.Items[i]; it.Phase < done {
 			unfinished[it.Group]++
 		}
 	}
 	slices.SortStableFunc(due, func(a, b int) int {
 		return cmp.Compare(unfinished[j.Items[a].Group], unfinished[j.Items[b].Group])
 	})
-	return due
+	return due, next
 }
 
 // attemptTime returns how long the next attempt may take. It grows with the
@@ -130,7 +153,7 @@
 		return
 	}
 	v.Roster.AttemptEnded(now, e.Target, e.End == op.RewardBroken || e.Leaving)
-	it.Phase = unscored
+	it.Phase, j.rewardsDueAt = unscored, now
 	switch e.End {
 	case op.RewardScored:
 		it.Phase = done
--- a/internal/batch/reward_test.go
+++ b/internal/batch/reward_test.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/catkinhead/catkinhead/internal/op"
@@ -149,6 +150,7 @@
 	f.end(0, op.ItemComplete, 5)
 	f.end(2, op.ItemComplete, 5)
 	f.view.Roster.Upsert(0, platform.TargetEntry{Target: "a", Pool: "plain", Slots: 2})
+	f.now += rewardRetryDelay
 	f.apply(op.Tick{})
 	if calls := f.calls(); len(calls) != 1 || calls[0].Item != 2 {
 		t.Errorf("called %+v", calls)
@@ -215,3 +217,29 @@
 		t.Errorf("not given up in time: %+v", c)
 	}
 }
+
+// BenchmarkItemEnds measures an event of a large job whose reward calls wait for
+// targets: 160 items of which half wait, 48 engines and 4 plain targets.
+func BenchmarkItemEnds(b *testing.B) {
+	f := newRewardFixture("a", "b", "c", "d")
+	for i := range 48 {
+		e := target(unit.Target(fmt.Sprint("engine", i)), 8, 1)
+		e.Pool = "p"
+		f.view.Roster.Upsert(0, e)
+	}
+	f.view.Roster.SetRemoteAttempts(map[unit.Target]int{"a": 4, "b": 4, "c": 4, "d": 4})
+	items := make([]op.ItemShape, 160)
+	for i := range items {
+		items[i] = op.ItemShape{Group: fmt.Sprint(i / 16), Expected: i, Reward: scored.Reward}
+	}
+	f.ownJob(1, items...)
+	f.state.Jobs["j"].WantGroups = 9
+	for i := range 80 {
+		f.end(i, op.ItemComplete, 5)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		f.now++
+		f.apply(op.ItemRunEnded{Job: "j", Item: 159, Run: -1, End: op.ItemBroken})
+	}
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -63,6 +63,9 @@
 	// StoreBackAt is when the store became reachable after its last outage, 0
 	// if there was none.
 	StoreBackAt clock.Millis
+	// usable holds the result of Usable by pool, until a target is added, changed or
+	// removed.
+	usable map[unit.Pool][]*Target
 	// picks counts the calls of Pick. It rotates the order of equal targets.
 	picks uint64
 }
@@ -97,6 +100,7 @@
 		t.Failures, t.SuspectUntil = 0, 0
 	}
 	t.TargetEntry, t.GoneAt = e, 0
+	s.usable = nil
 }
 
 // Remove handles the removal of an entry. If it comes within expiryGrace after an
@@ -113,27 +117,41 @@
 		return
 	}
 	if t.GoneAt == 0 || now >= t.GoneAt {
-		delete(s.Targets, id)
+		s.drop(id)
 	}
 }
 
+// drop removes a target.
+func (s *State) drop(id unit.Target) {
+	delete(s.Targets, id)
+	s.usable = nil
+}
+
 // Tick drops targets whose entries were not restored within the grace period.
 func (s *State) Tick(now clock.Millis) {
 	for id, t := range s.Targets {
 		if t.GoneAt > 0 && now >= t.GoneAt {
-			delete(s.Targets, id)
+			s.drop(id)
 		}
 	}
 }
 
-// Usable returns the targets of a pool that are not leaving, sorted by name.
+// Usable returns the targets of a pool that are not leaving, sorted by name. The
+// slice must not be changed.
 func (s *State) Usable(pool unit.Pool) []*Target {
+	if out, ok := s.usable[pool]; ok {
+		return out
+	}
 	var out []*Target
 	for _, id := range slices.Sorted(maps.Keys(s.Targets)) {
 		if t := s.Targets[id]; t.Pool == pool && !t.Leaving {
 			out = append(out, t)
 		}
 	}
+	if s.usable == nil {
+		s.usable = make(map[unit.Pool][]*Target)
+	}
+	s.usable[pool] = out
 	return out
 }
 
@@ -145,6 +163,11 @@
 	return s.pick(now, pool, func(t *Target) bool { return !slices.Contains(tried, t.Target) })
 }
 
+// AnyFree reports whether any usable target of a pool has a free slot.
+func (s *State) AnyFree(pool unit.Pool) bool {
+	return slices.ContainsFunc(s.Usable(pool), func(t *Target) bool { return t.FreeSlots() > 0 })
+}
+
 // PickFree is Pick among the targets that have more than reserve free slots. It
 // returns nil if only suspect targets have, but others exist: one of those will
 // soon have a free slot.
--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -13,8 +13,12 @@
 // Splitter picks pools in proportion to the weights of a rule.
 type Splitter struct{ position int }
 
-// Pick returns a pool of the rule's split.
+// Pick returns a pool of the rule's split, and the empty name for a rule without
+// pools.
 func (s *Splitter) Pick(rule platform.RouteRule) unit.Pool {
+	if len(rule.Split) == 0 {
+		return ""
+	}
 	total := 0
 	for _, sh := range rule.Split {
 		total += max(sh.Weight, 0)
