--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -36,8 +36,9 @@
 	// Target is where the current or the last run of the item, or attempt of its
 	// reward call, was sent.
 	Target unit.Target
-	// Run is the number of that run or attempt, unique within this instance. Moving is set once the run was asked to stop so that the item can
-	// resume at another target.
+	// Run is the number of that run or attempt, unique within this instance. Moving
+	// is set once the run was asked to stop so that the item can resume at another
+	// target.
 	Run    int64
 	Moving bool
 	// Barren counts the consecutive runs that broke. The count starts again with
@@ -50,8 +51,8 @@
 	// NotBefore is the earliest time of the next run, or of the next attempt of the
 	// reward call.
 	NotBefore clock.Millis
-	// Reward is the state of the reward call.
-	Reward rewardCall
+	// Call is the state of the reward call.
+	Call rewardCall
 	// Last is the ID of the last output event that this instance has, -1 if
 	// there is none. The next run resumes after it.
 	Last int64
--- a/internal/batch/reward.go
+++ b/internal/batch/reward.go
@@ -23,13 +23,13 @@
 	// answer after which the next one is delayed. Until then it is sent to another
 	// target at once.
 	breaksBeforeRewardBackoff = 2
+	// maxRewardBackoff is the upper bound of that delay.
+	maxRewardBackoff clock.Millis = clock.Second
 	// rewardRetryDelay is how long a job's reward calls wait after no target had a
 	// free slot, unless one of its own calls ends before.
 	rewardRetryDelay clock.Millis = 20
 	// never is later than any time.
 	never clock.Millis = 1 << 62
-	// maxRewardBackoff is the upper bound of that delay.
-	maxRewardBackoff clock.Millis = clock.Second
 )
 
 // rewardCall is the scheduling state of an item's reward call.
@@ -47,19 +47,16 @@
 // outputComplete records that the output of an item is complete.
 func (j *Job) outputComplete(now clock.Millis, it *Item) {
 	it.Phase = done
-	if it.ItemShape.Reward.Path != "" {
+	if it.Reward.Path != "" {
 		it.Phase, it.NotBefore, j.rewardsDueAt = unscored, now, now
-		it.Reward = rewardCall{Since: now}
+		it.Call = rewardCall{Since: now}
 	}
 }
 
 // sendRewardCalls sends the reward calls of a job's items that are due to targets
 // with free slots.
 func (s *State) sendRewardCalls(now clock.Millis, j *Job, v View, out *op.List) {
-	if j.Ending || j.Leaving || v.Table == nil {
-		return
-	}
-	if now < j.rewardsDueAt {
+	if j.Ending || j.Leaving || v.Table == nil || now < j.rewardsDueAt {
 		return
 	}
 	due, next := j.dueRewardCalls(now)
@@ -70,11 +67,11 @@
 	full := make(map[unit.Pool]bool)
 	for _, i := range due {
 		it := &j.Items[i]
-		rule, ok := v.Table.Match(it.ItemShape.Reward.Host, it.ItemShape.Reward.Path)
+		rule, ok := v.Table.Match(it.Reward.Host, it.Reward.Path)
 		pool := s.split.Pick(rule)
 		var t *roster.Target
 		if ok && !full[pool] {
-			t = it.Reward.pickTarget(now, pool, v)
+			t = it.Call.pickTarget(now, pool, v)
 			full[pool] = t == nil
 		}
 		if t == nil {
@@ -86,7 +83,7 @@
 		v.Roster.AttemptStarted(t.Target)
 		out.Add(op.SendRewardCall{
 			Job: j.ID, Item: i, Run: it.Run, Route: rule.Name, Target: t.Target, Address: t.Address,
-			Until: now + it.Reward.attemptTime(rule), Since: it.Reward.Since,
+			Until: now + it.Call.attemptTime(rule), Since: it.Call.Since,
 		})
 	}
 }
@@ -160,15 +157,15 @@
 	case op.RewardImpossible:
 		it.Phase = givenUp
 	case op.RewardFailed:
-		it.Reward.Tried = nil
-		it.Reward.Fails++
+		it.Call.Tried = nil
+		it.Call.Fails++
 		it.NotBefore = now + failureDelay
-		if it.Reward.Fails >= s.maxRewardFailures(j, it, v) {
+		if it.Call.Fails >= s.maxRewardFailures(j, it, v) {
 			it.Phase = givenUp
 		}
 	default:
-		it.Reward.Tried = append(it.Reward.Tried, e.Target)
-		if n := len(it.Reward.Tried) - breaksBeforeRewardBackoff; n > 0 {
+		it.Call.Tried = append(it.Call.Tried, e.Target)
+		if n := len(it.Call.Tried) - breaksBeforeRewardBackoff; n > 0 {
 			it.NotBefore = now + min(failureDelay<<min(n, 10), maxRewardBackoff)
 		}
 	}
@@ -180,7 +177,7 @@
 func (s *State) maxRewardFailures(j *Job, it *Item, v View) int {
 	limit := s.maxFailures(j, v)
 	if v.Table != nil {
-		if rule, ok := v.Table.Match(it.ItemShape.Reward.Host, it.ItemShape.Reward.Path); ok {
+		if rule, ok := v.Table.Match(it.Reward.Host, it.Reward.Path); ok {
 			limit = max(limit, rule.MaxAttempts)
 		}
 	}
