duty: one view for the decisions under the duties' lease

modelversion, scaling and metering each had the lease's fields, the time limit of a send and its check; the first two had the same view. No behaviour changes.

--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -4,6 +4,7 @@
 	"strconv"
 
 	"github.com/catkinhead/catkinhead/internal/batch"
+	"github.com/catkinhead/catkinhead/internal/duty"
 	"github.com/catkinhead/catkinhead/internal/forward"
 	"github.com/catkinhead/catkinhead/internal/heartbeat"
 	"github.com/catkinhead/catkinhead/internal/lease"
@@ -141,9 +142,9 @@
 		s.Roster.RecordVersion(e.Target, e.Model, e.Version)
 		s.Batch.Reduce(now, e, s.batchView(), &out)
 	case op.VersionWanted, op.VersionOrdered:
-		s.ModelVersions.Reduce(now, ev, s.modelVersionView(now), &out)
+		s.ModelVersions.Reduce(now, ev, s.dutyView(now), &out)
 	case op.TargetsOrdered:
-		s.Scaling.Reduce(now, ev, s.scalingView(now), &out)
+		s.Scaling.Reduce(now, ev, s.dutyView(now), &out)
 	case op.JobOwnershipGained:
 		s.Batch.Reduce(now, ev, s.batchView(), &out)
 		s.recordOwnedJobs(now)
@@ -208,7 +209,7 @@
 	s.recordOwnedJobs(now)
 	s.Heartbeats.Tick(now, s.Draining, out)
 	s.advance(now, out)
-	s.Scaling.Advance(now, s.scalingView(now), out)
+	s.Scaling.Advance(now, s.dutyView(now), out)
 	s.Metering.Advance(now, s.meteringView(now), out)
 	if now >= s.nextHeartbeatAt || s.sentWaiting && !anyWaiting(s.Batch.Demands()) {
 		s.sendHeartbeats(now, out)
@@ -229,7 +230,7 @@
 // targets or of the configuration.
 func (s *State) advance(now clock.Millis, out *op.List) {
 	s.Batch.Advance(now, s.batchView(), out)
-	s.ModelVersions.Advance(now, s.modelVersionView(now), out)
+	s.ModelVersions.Advance(now, s.dutyView(now), out)
 }
 
 // updateCandidacy decides whether this instance tries to hold the lease. A
@@ -317,20 +318,17 @@
 	return batch.View{Roster: &s.Roster, Table: s.Table, Draining: s.Draining}
 }
 
-// modelVersionView returns what decisions on model versions depend on.
-func (s *State) modelVersionView(now clock.Millis) modelversion.View {
+// holder returns this instance as the holder of the duties' lease.
+func (s *State) holder(now clock.Millis) duty.Holder {
 	fence, until, _ := s.Leases.Held(dutiesScope, now)
-	return modelversion.View{
-		Roster: &s.Roster, Table: s.Table, Self: s.Environment.Instance, Fence: fence, Until: until, Demands: s.demands(now, fence),
-	}
+	return duty.Holder{Self: s.Environment.Instance, Fence: fence, Until: until}
 }
 
-// scalingView returns what decisions on the number of targets depend on.
-func (s *State) scalingView(now clock.Millis) scaling.View {
-	fence, until, _ := s.Leases.Held(dutiesScope, now)
-	return scaling.View{
-		Roster: &s.Roster, Table: s.Table, Self: s.Environment.Instance, Fence: fence, Until: until, Demands: s.demands(now, fence),
-	}
+// dutyView returns what decisions on model versions and on the number of targets
+// depend on.
+func (s *State) dutyView(now clock.Millis) duty.View {
+	h := s.holder(now)
+	return duty.View{Holder: h, Roster: &s.Roster, Table: s.Table, Demands: s.demands(now, h.Fence)}
 }
 
 // demands returns the demand for each model by the jobs of this instance and of
@@ -349,8 +347,7 @@
 
 // meteringView returns what decisions on usage reports depend on.
 func (s *State) meteringView(now clock.Millis) metering.View {
-	fence, until, _ := s.Leases.Held(dutiesScope, now)
-	return metering.View{Wall: s.Wall(now), Self: s.Environment.Instance, Fence: fence, Until: until}
+	return metering.View{Wall: s.Wall(now), Holder: s.holder(now)}
 }
 
 // drain starts the graceful shutdown: it begins to release the lease and to hand
--- a/internal/metering/metering.go
+++ b/internal/metering/metering.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 
+	"github.com/catkinhead/catkinhead/internal/duty"
 	"github.com/catkinhead/catkinhead/internal/op"
 	"github.com/catkinhead/catkinhead/pkg/clock"
 	"github.com/catkinhead/catkinhead/pkg/platform"
@@ -24,9 +25,6 @@
 	// current one, so that a new holder of the lease can report the windows that an
 	// earlier holder did not.
 	retainedWindows = 6
-	// sendTimeout is how long a report may take to be sent. No call is started if
-	// the lease ends within this time.
-	sendTimeout clock.Millis = 500
 )
 
 // State holds the counts of all instances, as far as they are known.
@@ -67,11 +65,7 @@
 type View struct {
 	// Wall is the Unix time, 0 if it is not known yet.
 	Wall clock.Millis
-	Self unit.Instance
-	// Fence is the fencing token of the lease, 0 if this instance does not hold
-	// it. The lease ends at Until.
-	Fence unit.Fence
-	Until clock.Millis
+	duty.Holder
 }
 
 // CountRequest counts a request of a workspace that has run, or may have run, at a
@@ -216,7 +210,7 @@
 // advanceWindow starts the next call for a window: to seal it or, once it is
 // sealed, to report it.
 func (s *State) advanceWindow(now clock.Millis, n unit.Window, w *window, v View, out *op.List) {
-	if w.inFlight || w.finished || now < w.retryAt || now+sendTimeout >= v.Until {
+	if w.inFlight || w.finished || now < w.retryAt || !v.CanSend(now) {
 		return
 	}
 	w.inFlight = true
@@ -225,7 +219,7 @@
 		return
 	}
 	out.Add(op.SendCounts{Report: platform.CountReport{
-		Window: n, Counts: w.sealed, Holder: v.Self, Fence: v.Fence, SendBefore: min(v.Until, now+sendTimeout),
+		Window: n, Counts: w.sealed, Holder: v.Self, Fence: v.Fence, SendBefore: v.SendBefore(now),
 	}})
 }
 
--- a/internal/metering/metering_test.go
+++ b/internal/metering/metering_test.go
@@ -4,6 +4,7 @@
 	"maps"
 	"testing"
 
+	"github.com/catkinhead/catkinhead/internal/duty"
 	"github.com/catkinhead/catkinhead/internal/op"
 	"github.com/catkinhead/catkinhead/pkg/clock"
 	"github.com/catkinhead/catkinhead/pkg/unit"
@@ -31,7 +32,9 @@
 }
 
 // view returns the view of an instance that holds the lease.
-func (h *holder) view() View { return View{Wall: h.now, Self: "a", Fence: 1, Until: 1 << 40} }
+func (h *holder) view() View {
+	return View{Wall: h.now, Holder: duty.Holder{Self: "a", Fence: 1, Until: 1 << 40}}
+}
 
 // advance advances the time in steps of 100 ms and carries out the effects. If
 // lost is set, all calls are carried out but their results are lost.
--- a/internal/modelversion/modelversion.go
+++ b/internal/modelversion/modelversion.go
@@ -4,18 +4,15 @@
 	"maps"
 	"slices"
 
+	"github.com/catkinhead/catkinhead/internal/duty"
 	"github.com/catkinhead/catkinhead/internal/op"
 	"github.com/catkinhead/catkinhead/internal/roster"
-	"github.com/catkinhead/catkinhead/internal/route"
 	"github.com/catkinhead/catkinhead/pkg/clock"
 	"github.com/catkinhead/catkinhead/pkg/platform"
 	"github.com/catkinhead/catkinhead/pkg/unit"
 )
 
 const (
-	// sendTimeout is how long an order may take to be sent. No order is sent if
-	// the lease ends within this time.
-	sendTimeout clock.Millis = 500
 	// busyRetryDelay is the retry delay after a target refused an order because it
 	// is carrying out another one.
 	busyRetryDelay clock.Millis = 300
@@ -66,23 +63,9 @@
 	retryAt clock.Millis
 }
 
-// View is the state of other packages that decisions on versions depend on.
-type View struct {
-	Roster *roster.State
-	// Table is nil before the first configuration.
-	Table *route.Table
-	Self  unit.Instance
-	// Fence is the fencing token of the lease, 0 if this instance does not hold
-	// it. The lease ends at Until.
-	Fence unit.Fence
-	Until clock.Millis
-	// Demands is the demand of the jobs of all instances.
-	Demands []op.Demand
-}
-
 // Reduce applies a requested version or the end of an order, then sends the orders
 // that are due.
-func (s *State) Reduce(now clock.Millis, ev op.Event, v View, out *op.List) {
+func (s *State) Reduce(now clock.Millis, ev op.Event, v duty.View, out *op.List) {
 	switch e := ev.(type) {
 	case op.VersionWanted:
 		if s.Wanted == nil {
@@ -120,8 +103,8 @@
 // Advance assigns models to targets and sends the orders that are due. Without
 // the lease or a configuration, or shortly before the lease ends, it only resets
 // the state.
-func (s *State) Advance(now clock.Millis, v View, out *op.List) {
-	if v.Table == nil || v.Fence == 0 || now+sendTimeout >= v.Until {
+func (s *State) Advance(now clock.Millis, v duty.View, out *op.List) {
+	if v.Table == nil || !v.CanSend(now) {
 		s.reset()
 		return
 	}
@@ -229,7 +212,7 @@
 
 // sendOrders sends the orders that are due, up to the limit of concurrent loads,
 // the most urgent ones first.
-func (s *State) sendOrders(now clock.Millis, targets []*roster.Target, v View, out *op.List) {
+func (s *State) sendOrders(now clock.Millis, targets []*roster.Target, v duty.View, out *op.List) {
 	loading := s.pruneOrders(now, targets)
 	maxLoads := max(minConcurrentLoads, len(targets)/loadsDivisor)
 	for _, level := range []urgency{awaited, mandatory, optional} {
@@ -248,7 +231,7 @@
 			loading++
 			out.Add(op.OrderVersion{Order: platform.VersionOrder{
 				Target: t.Target, Address: t.Address, Model: m, Version: s.Wanted[m],
-				Holder: v.Self, Fence: v.Fence, SendBefore: min(v.Until, now+sendTimeout),
+				Holder: v.Self, Fence: v.Fence, SendBefore: v.SendBefore(now),
 			}})
 		}
 	}
@@ -284,7 +267,7 @@
 // the version, and they defer it until no item is waiting, at most by
 // maxLoadDeferral. So with each new version, half of the targets can run the new
 // job immediately, and only half of the loads are needed.
-func (s *State) loadUrgency(now clock.Millis, t *roster.Target, m unit.Model, targets []*roster.Target, v View) urgency {
+func (s *State) loadUrgency(now clock.Millis, t *roster.Target, m unit.Model, targets []*roster.Target, v duty.View) urgency {
 	wanted := s.Wanted[m]
 	has := t.VersionOf(m)
 	if has >= wanted {
@@ -330,7 +313,7 @@
 }
 
 // demand sums up the demand for a model over all instances.
-func (s *State) demand(m unit.Model, v View) op.Demand {
+func (s *State) demand(m unit.Model, v duty.View) op.Demand {
 	sum := op.Demand{Model: m}
 	for _, d := range v.Demands {
 		if d.Model != m {
--- a/internal/modelversion/modelversion_test.go
+++ b/internal/modelversion/modelversion_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"github.com/catkinhead/catkinhead/internal/duty"
 	"github.com/catkinhead/catkinhead/internal/op"
 	"github.com/catkinhead/catkinhead/internal/roster"
 	"github.com/catkinhead/catkinhead/internal/route"
@@ -18,7 +19,7 @@
 	now    clock.Millis
 	state  State
 	roster roster.State
-	view   View
+	view   duty.View
 	// loads counts the orders by version.
 	loads map[unit.Version]int
 	// loading holds the orders that were sent and not finished.
@@ -37,7 +38,7 @@
 		f.roster.Upsert(0, e)
 	}
 	table := route.New(platform.Configuration{Pools: map[unit.Pool]platform.PoolRule{"p": {Name: "p", Models: models}}}, 1)
-	f.view = View{Roster: &f.roster, Table: table, Self: "a", Fence: 3, Until: 1 << 40}
+	f.view = duty.View{Roster: &f.roster, Table: table, Holder: duty.Holder{Self: "a", Fence: 3, Until: 1 << 40}}
 	return f
 }
 
@@ -166,9 +167,9 @@
 }
 
 func TestNoOrdersWithoutLease(t *testing.T) {
-	for name, change := range map[string]func(*View){
-		"no lease":     func(v *View) { v.Fence = 0 },
-		"lease ending": func(v *View) { v.Until = sendTimeout },
+	for name, change := range map[string]func(*duty.View){
+		"no lease":     func(v *duty.View) { v.Fence = 0 },
+		"lease ending": func(v *duty.View) { v.Until = duty.SendTimeout },
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t, 4, "m")
--- a/internal/scaling/scaling.go
+++ b/internal/scaling/scaling.go
@@ -5,9 +5,8 @@
 	"maps"
 	"slices"
 
+	"github.com/catkinhead/catkinhead/internal/duty"
 	"github.com/catkinhead/catkinhead/internal/op"
-	"github.com/catkinhead/catkinhead/internal/roster"
-	"github.com/catkinhead/catkinhead/internal/route"
 	"github.com/catkinhead/catkinhead/pkg/clock"
 	"github.com/catkinhead/catkinhead/pkg/platform"
 	"github.com/catkinhead/catkinhead/pkg/unit"
@@ -17,9 +16,6 @@
 	// peakRetention is how long a peak of unfinished items is remembered: several
 	// steps of a trainer.
 	peakRetention = 20 * clock.Second
-	// sendTimeout is how long an order may take to be sent. No order is sent if
-	// the lease ends within this time.
-	sendTimeout clock.Millis = 500
 	// targetDiscoveryLag is how long after its start a new target may still be
 	// unknown to this instance.
 	targetDiscoveryLag = 3 * clock.Second
@@ -58,22 +54,8 @@
 	orders map[poolPart]*order
 }
 
-// View is the state of other packages that decisions on pool sizes depend on.
-type View struct {
-	Roster *roster.State
-	// Table is nil before the first configuration.
-	Table *route.Table
-	Self  unit.Instance
-	// Fence is the fencing token of the lease, 0 if this instance does not hold
-	// it. The lease ends at Until.
-	Fence unit.Fence
-	Until clock.Millis
-	// Demands is the demand of the jobs of all instances.
-	Demands []op.Demand
-}
-
 // Reduce applies the end of an order, then sends the orders that are due.
-func (s *State) Reduce(now clock.Millis, ev op.Event, v View, out *op.List) {
+func (s *State) Reduce(now clock.Millis, ev op.Event, v duty.View, out *op.List) {
 	if e, ok := ev.(op.TargetsOrdered); ok {
 		s.orderEnded(now, e, v)
 	}
@@ -82,7 +64,7 @@
 
 // orderEnded sets when the next order may be sent. After a success, that is when
 // the new targets should have started and this instance should know them.
-func (s *State) orderEnded(now clock.Millis, e op.TargetsOrdered, v View) {
+func (s *State) orderEnded(now clock.Millis, e op.TargetsOrdered, v duty.View) {
 	o := s.orders[poolPart{e.Pool, e.DataCentre}]
 	if o == nil {
 		return
@@ -105,8 +87,8 @@
 
 // Advance sends orders for the pools that have too few targets. Without the lease
 // or a configuration, or shortly before the lease ends, it only resets the state.
-func (s *State) Advance(now clock.Millis, v View, out *op.List) {
-	if v.Table == nil || v.Fence == 0 || now+sendTimeout >= v.Until {
+func (s *State) Advance(now clock.Millis, v duty.View, out *op.List) {
+	if v.Table == nil || !v.CanSend(now) {
 		s.peaks, s.orders = nil, nil
 		return
 	}
@@ -123,7 +105,7 @@
 // scaleUp sends orders for the data centres in which a pool has too few targets.
 // Spot targets do not count, and a data centre that has no other usable target of
 // the pool gets no order.
-func (s *State) scaleUp(now clock.Millis, rule platform.PoolRule, v View, out *op.List) {
+func (s *State) scaleUp(now clock.Millis, rule platform.PoolRule, v duty.View, out *op.List) {
 	have := make(map[unit.DataCentre]int)
 	for _, t := range v.Roster.Usable(rule.Name) {
 		if !t.Spot {
@@ -141,7 +123,7 @@
 		}
 		s.orders[poolPart{rule.Name, dc}] = &order{inFlight: true}
 		out.Add(op.OrderTargets{Order: platform.SizeOrder{
-			Pool: rule.Name, DataCentre: dc, Count: want, Holder: v.Self, Fence: v.Fence, SendBefore: min(v.Until, now+sendTimeout),
+			Pool: rule.Name, DataCentre: dc, Count: want, Holder: v.Self, Fence: v.Fence, SendBefore: v.SendBefore(now),
 		}})
 	}
 }
--- a/internal/scaling/scaling_test.go
+++ b/internal/scaling/scaling_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"github.com/catkinhead/catkinhead/internal/duty"
 	"github.com/catkinhead/catkinhead/internal/op"
 	"github.com/catkinhead/catkinhead/internal/roster"
 	"github.com/catkinhead/catkinhead/internal/route"
@@ -14,9 +15,9 @@
 
 // newFixture returns a view of a pool that has two targets with four slots in each
 // of two data centres, and a number of unfinished items.
-func newFixture(items int) (*State, View) {
-	v := View{
-		Roster: &roster.State{}, Self: "a", Fence: 1, Until: 1 << 40,
+func newFixture(items int) (*State, duty.View) {
+	v := duty.View{
+		Roster: &roster.State{}, Holder: duty.Holder{Self: "a", Fence: 1, Until: 1 << 40},
 		Table: route.New(platform.Configuration{Pools: map[unit.Pool]platform.PoolRule{"p": {
 			Name: "p", Slots: 4, Models: []unit.Model{"m"},
 			Scaling: &platform.Scaling{Min: 1, Max: 5, BootAfter: 4000, Prices: map[unit.DataCentre]float64{"north": 1, "south": 0.8}},
@@ -35,7 +36,7 @@
 
 // orders advances the state and returns the number of targets ordered in each
 // data centre.
-func orders(s *State, now clock.Millis, v View) map[unit.DataCentre]int {
+func orders(s *State, now clock.Millis, v duty.View) map[unit.DataCentre]int {
 	var out op.List
 	s.Advance(now, v, &out)
 	got := make(map[unit.DataCentre]int)
@@ -104,7 +105,7 @@
 	if got := orders(s, 100, v); len(got) != 0 {
 		t.Errorf("ordered %v", got)
 	}
-	v.Fence, v.Until = 1, 100+sendTimeout
+	v.Fence, v.Until = 1, 100+duty.SendTimeout
 	if got := orders(s, 100, v); len(got) != 0 {
 		t.Errorf("ordered %v although the lease is about to end", got)
 	}
