batch: spread items without an estimate over the targets

The work of a target for each slot was rounded down, so a target with fewer items than slots seemed idle if the items had no estimate, and all went to one target. TestItemsWithoutEstimateAreSpreadOverTargets was red before.

--- a/internal/batch/batch_test.go
+++ b/internal/batch/batch_test.go
@@ -335,6 +335,16 @@
 	}
 }
 
+func TestItemsWithoutEstimateAreSpreadOverTargets(t *testing.T) {
+	f := newFixture(target("a", 4, 1), target("b", 4, 1))
+	f.ownJob(1, op.ItemShape{}, op.ItemShape{}, op.ItemShape{}, op.ItemShape{})
+	for _, id := range []unit.Target{"a", "b"} {
+		if n := f.view.Roster.Targets[id].Running; n != 2 {
+			t.Errorf("%d of four items were sent to %s", n, id)
+		}
+	}
+}
+
 func TestInstancesStartAtDifferentTargets(t *testing.T) {
 	chosen := make(map[unit.Target]bool)
 	for _, self := range []unit.Instance{"a", "b", "c", "d", "e", "f"} {
--- a/internal/batch/workload.go
+++ b/internal/batch/workload.go
@@ -37,6 +37,6 @@
 func (it *Item) work() int { return max(it.Expected, 1) }
 
 // of returns the work of a target for each of its slots.
-func (l workload) of(t *roster.Target) int {
-	return (l.own[t.Target] + t.Elsewhere*l.mean) / max(t.Slots, 1)
+func (l workload) of(t *roster.Target) float64 {
+	return float64(l.own[t.Target]+t.Elsewhere*l.mean) / float64(max(t.Slots, 1))
 }
