--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -68,11 +68,6 @@
 	// instance that created the job needs no claim, so there it is set from the
 	// start.
 	Claimed bool
-	// rewardsDueAt is the earliest time at which a reward call may be sent.
-	rewardsDueAt clock.Millis
-	// incomplete is the number of ready results with which the groups for which the
-	// trainer waits were last found incomplete, -1 if that is not known.
-	incomplete int
 	// Ahead is set while the job is not stored: its items run, but no chunk is
 	// written.
 	Ahead bool
@@ -103,4 +98,9 @@
 	EndCalls      []op.CallID
 	// ClosedAt is when the job was first seen closed, 0 before.
 	ClosedAt clock.Millis
+	// rewardsDueAt is the earliest time at which a reward call may be sent.
+	rewardsDueAt clock.Millis
+	// incomplete is the number of ready results with which the groups for which the
+	// trainer waits were last found incomplete, -1 if that is not known.
+	incomplete int
 }
