--- a/review/4/main.go
+++ b/review/4/main.go
@@ -32,11 +32,11 @@
 	short = time.Second
 	// late is the least time by which a lost write takes effect late. window is how
 	// long the disruption of the store lasts.
-	late     = 1100 * time.Millisecond
-	window   = 3500 * time.Millisecond
-	first    = "7c41e09b52d6a3f8"
-	second   = "91b2d7730c5ee604"
-	routes   = `[
+	late   = 1100 * time.Millisecond
+	window = 3500 * time.Millisecond
+	first  = "7c41e09b52d6a3f8"
+	second = "91b2d7730c5ee604"
+	routes = `[
 {"name":"r-draft","hostname":"desk.example","path_prefix":"/draft/","route_kind":"rollout","timeout_ms":10000,"target_latency_ms":400,"priority":1,"service":"drafting-models","max_attempts":3,"queue_ttl_s":40.0,"result_deadline_ms":7500,"single_version":false,"public":false,"sticky":true,"resumable":true},
 {"name":"r-reply","hostname":"desk.example","path_prefix":"/reply/","route_kind":"rollout","timeout_ms":10000,"target_latency_ms":400,"priority":1,"service":"drafting-models","max_attempts":3,"queue_ttl_s":40.0,"result_deadline_ms":5000,"single_version":false,"public":false,"sticky":true,"resumable":true}]`
 	services = `[{"name":"drafting-models","health_path":"/healthz","max_conns":170,"protocol":"h1","tls":false,"engine":{"slots":4,"kv_capacity":49588,"models":[{"name":"daka510000"}]}}]`
@@ -64,10 +64,11 @@
 // discard is a http.ResponseWriter that keeps only the status.
 type discard struct{ status int }
 
-func (*discard) Header() http.Header           { return make(http.Header) }
-func (*discard) Write(b []byte) (int, error)   { return len(b), nil }
-func (d *discard) WriteHeader(status int)      { d.status = status }
-func chunkPath(path string) bool               { return strings.HasPrefix(path, "/objects/results-"+first+"/") }
+func (*discard) Header() http.Header         { return make(http.Header) }
+func (*discard) Write(b []byte) (int, error) { return len(b), nil }
+func (d *discard) WriteHeader(status int)    { d.status = status }
+func chunkPath(path string) bool { return strings.HasPrefix(path, "/objects/results-"+first+"/") }
+
 func (s *store) replay(path string, b []byte) int {
 	req, err := http.NewRequest(http.MethodPost, path, bytes.NewReader(b))
 	if err != nil {
