review: a late copy of a refusal makes a request run twice

Case 4: the edge takes X-Not-Executed for the answer to the request in hand without comparing X-Attempt-Id.

--- a/review/4/main.go
+++ b/review/4/main.go
@@ -1,140 +1,50 @@
-// Command 4 kills the owner of a step while one of its writes to the platform's store
-// has not taken effect yet, and looks whether the next owner finishes the step.
+// Command 4 sends requests of a route that is not idempotent to two busy workers, of
+// which one sends a second copy of some of its answers, late. It counts the requests
+// that ran more than once, and those that were refused although they ran.
 package main
 
 import (
+	"bufio"
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
+	"net"
 	"net/http"
-	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/catkinhead/catkinhead/review/rig"
 )
 
 const (
-	slots   = 4
-	workers = 2
-	// An item takes two seconds.
-	events     = 50
-	eventEvery = 40 * time.Millisecond
-	groupSize  = 4
-	items      = 8
-	// steady is contact_ms, giveUpAfter the time after which the trainer gives the
-	// step up, unserved the time for which an item has to be at no worker.
-	steady      = 3 * time.Second
-	giveUpAfter = 12 * time.Second
-	unserved    = 5 * time.Second
-	// short is the length of a run that doesn't count.
-	short = time.Second
-	// late is the least time by which a lost write takes effect late. window is how
-	// long the disruption of the store lasts.
-	late   = 1100 * time.Millisecond
-	window = 3500 * time.Millisecond
-	first  = "7c41e09b52d6a3f8"
-	second = "91b2d7730c5ee604"
-	routes = `[
-{"name":"r-draft","hostname":"desk.example","path_prefix":"/draft/","route_kind":"rollout","timeout_ms":10000,"target_latency_ms":400,"priority":1,"service":"drafting-models","max_attempts":3,"queue_ttl_s":40.0,"result_deadline_ms":7500,"single_version":false,"public":false,"sticky":true,"resumable":true},
-{"name":"r-reply","hostname":"desk.example","path_prefix":"/reply/","route_kind":"rollout","timeout_ms":10000,"target_latency_ms":400,"priority":1,"service":"drafting-models","max_attempts":3,"queue_ttl_s":40.0,"result_deadline_ms":5000,"single_version":false,"public":false,"sticky":true,"resumable":true}]`
-	services = `[{"name":"drafting-models","health_path":"/healthz","max_conns":170,"protocol":"h1","tls":false,"engine":{"slots":4,"kv_capacity":49588,"models":[{"name":"daka510000"}]}}]`
+	// extraShare is the share of the answers of the first of two workers that it sends
+	// again, for extraTime.
+	extraShare = 0.03
+	extraTime  = 5 * time.Second
+	workers    = 2
+	clients    = 16
+	// A worker runs slots requests, lets queue more wait and refuses the others.
+	slots       = 3
+	queue       = 3
+	requestTime = 25 * time.Millisecond
+	routes      = `[{"name":"r-hold","hostname":"desk.example","path_prefix":"/hold/","route_kind":"non_idempotent","timeout_ms":1500,"target_latency_ms":150,"priority":1,"service":"booking-desk","max_attempts":2,"public":false}]`
+	services    = `[{"name":"booking-desk","health_path":"/healthz","max_conns":100,"protocol":"h1","tls":false}]`
 )
 
 func main() { rig.Main(run) }
 
-// store is the platform's store. Of the writes in window, the first owner's write of
-// results and the next owner's claim get no answer and take effect late.
-type store struct {
-	rig   *rig.Rig
-	inner http.Handler
-	mu    sync.Mutex
-	// held is the first owner's write.
-	held     []byte
-	heldPath string
-	heldAt   time.Time
-	// began is when the disruption began, zero before. all counts the writes since
-	// then within window, lost those of them without an answer.
-	began      time.Time
-	lost, all  int
-	heldSignal chan struct{}
-}
-
-// discard is a http.ResponseWriter that keeps only the status.
-type discard struct{ status int }
-
-func (*discard) Header() http.Header         { return make(http.Header) }
-func (*discard) Write(b []byte) (int, error) { return len(b), nil }
-func (d *discard) WriteHeader(status int)    { d.status = status }
-func chunkPath(path string) bool { return strings.HasPrefix(path, "/objects/results-"+first+"/") }
-
-func (s *store) replay(path string, b []byte) int {
-	req, err := http.NewRequest(http.MethodPost, path, bytes.NewReader(b))
-	if err != nil {
-		return 0
-	}
-	d := &discard{status: http.StatusOK}
-	s.inner.ServeHTTP(d, req)
-	return d.status
-}
-
-// ServeHTTP serves the store's interface.
-func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.Method == http.MethodGet {
-		s.inner.ServeHTTP(w, r)
-		return
-	}
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return
-	}
-	r.Body = io.NopCloser(bytes.NewReader(body))
-	if s.loses(r, body) {
-		panic(http.ErrAbortHandler)
-	}
-	s.inner.ServeHTTP(w, r)
-}
-
-// loses decides whether a write gets no answer.
-func (s *store) loses(r *http.Request, body []byte) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.began.IsZero() || time.Since(s.began) > window {
-		return false
-	}
-	s.all++
-	if r.Method != http.MethodPost || !chunkPath(r.URL.Path) || s.lost == 2 {
-		return false
-	}
-	s.lost++
-	s.rig.Note("store: write %s (%d bytes) gets no answer and takes effect later", r.URL.Path, len(body))
-	if s.lost == 1 {
-		s.held, s.heldPath, s.heldAt = body, r.URL.Path, time.Now()
-		close(s.heldSignal)
-		return true
-	}
-	wait := max(time.Until(s.heldAt.Add(late)), 100*time.Millisecond)
-	time.AfterFunc(wait, func() {
-		s.rig.Note("store: the first lost write takes effect %s later: %d", time.Since(s.heldAt), s.replay(s.heldPath, s.held))
-	})
-	time.AfterFunc(wait+2*time.Second, func() {
-		s.rig.Note("store: the second lost write takes effect: %d", s.replay(r.URL.Path, body))
-	})
-	return true
-}
-
 func run(r *rig.Rig) (string, error) {
-	s := &store{rig: r, inner: r.Store, heldSignal: make(chan struct{})}
-	var err error
-	if r.StoreAddress, err = r.Serve(s); err != nil {
-		return "", err
-	}
 	r.Configure(3, routes, services)
-	var fleet []*rig.Worker
+	var spoils atomic.Bool
+	var fleet []*worker
 	for i := range workers {
-		w := &rig.Worker{ID: fmt.Sprintf("i-draft-%d", i), Service: "drafting-models", Slots: slots, Events: events, EventEvery: eventEvery}
-		if err := r.AddWorker(w); err != nil {
+		w := &worker{rig: r, id: fmt.Sprintf("i-desk-%d", i), slots: make(chan struct{}, slots), runs: make(map[string]int)}
+		if i == 0 {
+			w.spoils = func() bool { return spoils.Load() && rand.Float64() < extraShare }
+		}
+		if err := w.start(); err != nil {
 			return "", err
 		}
 		fleet = append(fleet, w)
@@ -143,102 +53,196 @@
 	if err != nil {
 		return "", err
 	}
-	submitted := time.Now()
-	if status, body := r.Call(edges[0], http.MethodPost, "/draft/0", first, nil, step("a", "/draft/x"), 3*time.Second); status != http.StatusAccepted {
-		return "", fmt.Errorf("the step was answered with %d: %s", status, body)
-	}
-	r.Note("step %s accepted by %s", first, edges[0].Name)
-	time.Sleep(200 * time.Millisecond)
-	if status, body := r.Call(edges[1], http.MethodPost, "/reply/0", second, nil, step("b", "/reply/x"), 3*time.Second); status != http.StatusAccepted {
-		return "", fmt.Errorf("the second step was answered with %d: %s", status, body)
-	}
-	r.Note("step %s accepted by %s", second, edges[1].Name)
-	if r.Trouble {
-		s.mu.Lock()
-		s.began = time.Now()
-		s.mu.Unlock()
-		select {
-		case <-s.heldSignal:
-		case <-time.After(5 * time.Second):
-			return "", fmt.Errorf("the owner wrote no results in 5 s")
-		}
-		time.Sleep(50 * time.Millisecond)
-		edges[0].Kill()
-	}
-	return readStep(r, s, edges[1:], fleet, submitted), nil
+	refused := make(map[string]int)
+	sendRequests(r, edges, "calm", time.Second, refused)
+	spoils.Store(r.Trouble)
+	r.Note("second copies begin: %t", r.Trouble)
+	sendRequests(r, edges, "late", extraTime, refused)
+	spoils.Store(false)
+	sendRequests(r, edges, "last", time.Second, refused)
+	return judge(r, fleet, refused), nil
 }
 
-// step returns the body of a trainer's batch job.
-func step(prefix, path string) string {
-	var list []map[string]any
-	for i := range items {
-		list = append(list, map[string]any{
-			"id": itemID(prefix, i), "path": path, "headers": map[string]string{"X-Model": "daka510000", "X-Token-Count": "255,50", "X-Prompt-Prefix": fmt.Sprintf("5d07b8%d:255", i/groupSize)},
-			"body": "q83vEjRWeJA=", "token_count": 305, "group": fmt.Sprintf("g%s%d", prefix, i/groupSize),
+// sendRequests sends requests from several clients, each with an attempt id of its
+// own. No client repeats a request. The ids of those that are refused go to refused.
+func sendRequests(r *rig.Rig, edges []*rig.Edge, phase string, lasts time.Duration, refused map[string]int) {
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	until := time.Now().Add(lasts)
+	for c := range clients {
+		group.Go(func() {
+			for n := 0; time.Now().Before(until); n++ {
+				id := fmt.Sprintf("%s-%d-%d", phase, c, n)
+				r.Note("client %d sends POST /hold/%s", c, id)
+				status, _ := r.Call(edges[c%len(edges)], http.MethodPost, "/hold/"+id, id, map[string]string{"X-Deadline-Ms": "1500"}, "hold "+id, 2*time.Second)
+				r.Note("client %d gets %d for %s", c, status, id)
+				if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+					mu.Lock()
+					refused[id] = status
+					mu.Unlock()
+				}
+				time.Sleep(time.Duration(rand.IntN(20)) * time.Millisecond)
+			}
 		})
 	}
-	b, _ := json.Marshal(map[string]any{
-		"step": 0, "model": "daka510000", "min_version": 1, "desired_count": items / groupSize, "items": list,
-	})
-	return string(b)
+	group.Wait()
 }
 
-func itemID(prefix string, i int) string { return fmt.Sprintf("%s5b2907c14da%04d", prefix, i) }
-
-// readStep reads the results of the first step like a trainer until it is complete
-// or its time is up, and returns how the rule was broken.
-func readStep(r *rig.Rig, s *store, edges []*rig.Edge, fleet []*rig.Worker, submitted time.Time) string {
-	for n := 0; time.Since(submitted) < giveUpAfter; n++ {
-		page, status := r.Read(edges[n%len(edges)], first, 0)
-		active := fleet[0].Active() + fleet[1].Active()
-		r.Note("read: %d, %d of %d results, %d requests run at workers", status, len(page.Results), page.Total, active)
-		if len(page.Results) == items {
-			return ""
+// judge returns how the rules were broken, or an empty text.
+func judge(r *rig.Rig, fleet []*worker, refused map[string]int) string {
+	runs := make(map[string]int)
+	answers, refusals, copies := 0, 0, 0
+	for _, w := range fleet {
+		w.mu.Lock()
+		for id, n := range w.runs {
+			runs[id] += n
 		}
-		time.Sleep(500 * time.Millisecond)
-	}
-	end := time.Now()
-	// Steady state begins contact_ms after the end of the disruption.
-	s.mu.Lock()
-	from := s.began.Add(window + steady)
-	r.Note("store: %d of %d writes in %s got no answer", s.lost, s.all, window)
-	s.mu.Unlock()
-	if end.Sub(from) < unserved {
-		return ""
-	}
-	away := 0
-	for i := range items {
-		if !atWorker(r, fleet, itemID("a", i), end.Add(-unserved), end) {
-			away++
+		answers, refusals, copies = answers+w.answers, refusals+w.refusals, copies+w.copies
+		w.mu.Unlock()
+	}
+	r.Note("%d answers of workers, %d of them refusals; %d were sent twice", answers, refusals, copies)
+	twice, untrue := 0, 0
+	for id, n := range runs {
+		if n > 1 {
+			twice++
+			r.Note("%s ran %d times", id, n)
+		}
+		if status, ok := refused[id]; ok {
+			untrue++
+			r.Note("%s was answered with %d and ran", id, status)
 		}
 	}
-	if away == 0 {
+	if twice+untrue == 0 {
 		return ""
 	}
-	active := fleet[0].Active() + fleet[1].Active()
-	return fmt.Sprintf("LOST: the step ran out of time after %s; %d of its %d items were at no worker in the last %s, steady state since %.1f s, %d of %d places taken",
-		giveUpAfter, away, items, unserved, end.Sub(from).Seconds(), active, slots*workers)
+	return fmt.Sprintf("TWICE: %d of %d requests that are not idempotent ran more than once; REFUSED: %d were answered with 503 and had run", twice, len(runs), untrue)
 }
 
-// atWorker reports whether an item has a finished run, or one that took longer than
-// short and reached into a time.
-func atWorker(r *rig.Rig, fleet []*rig.Worker, id string, from, to time.Time) bool {
-	runs, at := 0, false
-	for _, w := range fleet {
-		for _, run := range w.Runs() {
-			if run.ID != id {
-				continue
-			}
-			runs++
-			ended := run.Ended
-			if ended.IsZero() {
-				ended = to
+// worker is a worker that can send an answer twice: the second time when the next
+// request has arrived on the same connection, before the answer to that.
+type worker struct {
+	rig   *rig.Rig
+	id    string
+	slots chan struct{}
+	// spoils reports whether an answer is sent twice; nil for never.
+	spoils func() bool
+	mu     sync.Mutex
+	// queued counts the requests that wait for a slot. runs counts the runs by the id
+	// of the request.
+	queued                    int
+	runs                      map[string]int
+	answers, refusals, copies int
+}
+
+// start listens and registers the worker.
+func (w *worker) start() error {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	w.rig.Store.Set("servers", w.id, fmt.Sprintf(
+		`{"service":"booking-desk","address":%q,"zone":"nz-north-a","version":"v1","slots":%d,"state":"ready","cold_remaining_ms":0,"seq":0,"born":1}`, ln.Addr(), slots))
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
 			}
-			if run.Finished || ended.After(from) && ended.Sub(run.Began) > short {
-				at = true
+			go w.serve(conn)
+		}
+	}()
+	return nil
+}
+
+// serve answers the requests of a connection, one after the other.
+func (w *worker) serve(conn net.Conn) {
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	var second []byte
+	for {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		id := req.Header.Get("X-Attempt-Id")
+		if second != nil {
+			w.rig.Note("%s sends a second copy of an answer while %s is in hand", w.id, id)
+			if _, err := conn.Write(second); err != nil {
+				return
 			}
+			second = nil
 		}
+		answer := w.answer(req, id)
+		if _, err := conn.Write(answer); err != nil {
+			return
+		}
+		w.mu.Lock()
+		w.answers++
+		if w.spoils != nil && w.spoils() {
+			w.copies++
+			second = answer
+		}
+		w.mu.Unlock()
 	}
-	r.Note("%s had %d runs; at a worker: %t", id, runs, at)
-	return at
+}
+
+// answer runs or refuses a request and returns the answer.
+func (w *worker) answer(req *http.Request, id string) []byte {
+	res := http.Response{StatusCode: http.StatusOK, ProtoMajor: 1, ProtoMinor: 1, Header: make(http.Header)}
+	res.Header.Set("X-Attempt-Id", id)
+	body := ""
+	switch {
+	case req.Header.Get("X-Expect-Instance") != w.id:
+		res.StatusCode = http.StatusMisdirectedRequest
+	case !w.admit():
+		res.StatusCode = http.StatusServiceUnavailable
+		res.Header.Set("X-Not-Executed", "1")
+		w.mu.Lock()
+		w.refusals++
+		w.mu.Unlock()
+		w.rig.Note("%s refuses %s", w.id, id)
+	default:
+		w.mu.Lock()
+		w.runs[id]++
+		w.mu.Unlock()
+		w.rig.Note("%s runs %s: %s %s", w.id, id, req.Method, req.URL.Path)
+		time.Sleep(requestTime)
+		<-w.slots
+		res.Header.Set("X-Server-Stamp", rig.Stamp(w.id, id))
+		body = "done: " + id
+	}
+	res.Body, res.ContentLength = io.NopCloser(bytes.NewReader([]byte(body))), int64(len(body))
+	if body == "" {
+		res.Body = http.NoBody
+		res.Header.Set("Content-Length", "0")
+	}
+	var out bytes.Buffer
+	if err := res.Write(&out); err != nil {
+		w.rig.Note("%s: %v", w.id, err)
+	}
+	return out.Bytes()
+}
+
+// admit takes a slot. It returns false if too many requests wait for one already.
+func (w *worker) admit() bool {
+	select {
+	case w.slots <- struct{}{}:
+		return true
+	default:
+	}
+	w.mu.Lock()
+	if w.queued >= queue {
+		w.mu.Unlock()
+		return false
+	}
+	w.queued++
+	w.mu.Unlock()
+	w.slots <- struct{}{}
+	w.mu.Lock()
+	w.queued--
+	w.mu.Unlock()
+	return true
 }
