--- a/review/3/main.go
+++ b/review/3/main.go
@@ -23,13 +23,13 @@
 	slots     = 2
 	items     = 56
 	groupSize = 4
-	events    = 220
+	events    = 70
 	// late is the least time by which a lost write takes effect late. window is how
 	// long the disruption of the store lasts.
 	late     = 1100 * time.Millisecond
 	window   = 4500 * time.Millisecond
 	readFor  = 20 * time.Second
-	rounds   = 4
+	rounds   = 6
 	routes   = `[{"name":"r-draft","hostname":"desk.example","path_prefix":"/draft/","route_kind":"rollout","timeout_ms":10000,"target_latency_ms":400,"priority":1,"service":"drafting-models","max_attempts":3,"queue_ttl_s":60.0,"result_deadline_ms":30000,"single_version":false,"public":false,"sticky":true,"resumable":true}]`
 	services = `[{"name":"drafting-models","health_path":"/healthz","max_conns":170,"protocol":"h1","tls":false,"engine":{"slots":2,"kv_capacity":49588,"models":[{"name":"daka510000"}]}}]`
 )
@@ -242,7 +242,7 @@
 	r.Configure(3, routes, services)
 	f := &fleet{rig: r}
 	for i := range workers {
-		w := &worker{fleet: f, id: fmt.Sprintf("i-draft-%02d", i), every: time.Duration(20+rand.IntN(20)) * time.Millisecond, slots: make(chan struct{}, slots)}
+		w := &worker{fleet: f, id: fmt.Sprintf("i-draft-%02d", i), every: time.Duration(70+rand.IntN(50)) * time.Millisecond, slots: make(chan struct{}, slots)}
 		at, err := r.Serve(w)
 		if err != nil {
 			return "", err
--- a/review/4/main.go
+++ b/review/4/main.go
@@ -1,50 +1,57 @@
-// Command 4 sends requests of a route that is not idempotent to two busy workers, of
-// which one sends a second copy of some of its answers, late. It counts the requests
-// that ran more than once, and those that were refused although they ran.
+// Command 4 lets clients leave streams before their end, as `give_up` does, and
+// then, when all is calm again, hands in a step of a trainer that needs the same
+// workers.
 package main
 
 import (
-	"bufio"
-	"bytes"
+	"context"
+	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
-	"net"
 	"net/http"
-	"sync"
-	"sync/atomic"
+	"strings"
 	"time"
 
 	"github.com/catkinhead/catkinhead/review/rig"
 )
 
 const (
-	// extraShare is the share of the answers of the first of two workers that it sends
-	// again, for extraTime.
-	extraShare = 0.03
-	extraTime  = 5 * time.Second
-	workers    = 2
-	clients    = 16
-	// A worker runs slots requests, lets queue more wait and refuses the others.
-	slots       = 3
-	queue       = 3
-	requestTime = 25 * time.Millisecond
-	routes      = `[{"name":"r-hold","hostname":"desk.example","path_prefix":"/hold/","route_kind":"non_idempotent","timeout_ms":1500,"target_latency_ms":150,"priority":1,"service":"booking-desk","max_attempts":2,"public":false}]`
-	services    = `[{"name":"booking-desk","health_path":"/healthz","max_conns":100,"protocol":"h1","tls":false}]`
+	slots   = 4
+	workers = 2
+	// A stream or an item takes a second.
+	events     = 25
+	eventEvery = 40 * time.Millisecond
+	// streams is the number of streams, of which leavers are left by their clients
+	// after leaveAfter, half of the target latency of their route.
+	streams    = 24
+	leavers    = 7
+	leaveAfter = 200 * time.Millisecond
+	// calm is the time without any disruption before the step, longer than
+	// contact_ms and settle_ms together.
+	calm = 6 * time.Second
+	// items is the number of items of the step. The workers need four seconds for
+	// them. The trainer gives the step up after giveUpAfter, 4.5 s after the results
+	// are due.
+	items       = 32
+	groupSize   = 4
+	giveUpAfter = 12 * time.Second
+	// unserved is the time for which an item has to be at no worker.
+	unserved = 5 * time.Second
+	job      = "7c41e09b52d6a3f8"
+	routes   = `[
+{"name":"r-chat","hostname":"desk.example","path_prefix":"/chat/","route_kind":"streaming","streaming":true,"timeout_ms":10000,"target_latency_ms":400,"priority":1,"service":"fitter-lm","max_attempts":2,"public":false,"sticky":true,"resumable":false},
+{"name":"r-fit","hostname":"desk.example","path_prefix":"/fit/","route_kind":"rollout","timeout_ms":10000,"target_latency_ms":400,"priority":1,"service":"fitter-lm","max_attempts":3,"queue_ttl_s":40.0,"result_deadline_ms":7500,"single_version":false,"public":false,"sticky":true,"resumable":true}]`
+	services = `[{"name":"fitter-lm","health_path":"/healthz","max_conns":170,"protocol":"h1","tls":false,"engine":{"slots":4,"kv_capacity":49588,"models":[{"name":"daka510000"}]}}]`
 )
 
 func main() { rig.Main(run) }
 
 func run(r *rig.Rig) (string, error) {
 	r.Configure(3, routes, services)
-	var spoils atomic.Bool
-	var fleet []*worker
+	var fleet []*rig.Worker
 	for i := range workers {
-		w := &worker{rig: r, id: fmt.Sprintf("i-desk-%d", i), slots: make(chan struct{}, slots), runs: make(map[string]int)}
-		if i == 0 {
-			w.spoils = func() bool { return spoils.Load() && rand.Float64() < extraShare }
-		}
-		if err := w.start(); err != nil {
+		w := &rig.Worker{ID: fmt.Sprintf("i-fit-%d", i), Service: "fitter-lm", Slots: slots, Events: events, EventEvery: eventEvery}
+		if err := r.AddWorker(w); err != nil {
 			return "", err
 		}
 		fleet = append(fleet, w)
@@ -53,196 +60,119 @@
 	if err != nil {
 		return "", err
 	}
-	refused := make(map[string]int)
-	sendRequests(r, edges, "calm", time.Second, refused)
-	spoils.Store(r.Trouble)
-	r.Note("second copies begin: %t", r.Trouble)
-	sendRequests(r, edges, "late", extraTime, refused)
-	spoils.Store(false)
-	sendRequests(r, edges, "last", time.Second, refused)
-	return judge(r, fleet, refused), nil
-}
-
-// sendRequests sends requests from several clients, each with an attempt id of its
-// own. No client repeats a request. The ids of those that are refused go to refused.
-func sendRequests(r *rig.Rig, edges []*rig.Edge, phase string, lasts time.Duration, refused map[string]int) {
-	var mu sync.Mutex
-	var group sync.WaitGroup
-	until := time.Now().Add(lasts)
-	for c := range clients {
-		group.Go(func() {
-			for n := 0; time.Now().Before(until); n++ {
-				id := fmt.Sprintf("%s-%d-%d", phase, c, n)
-				r.Note("client %d sends POST /hold/%s", c, id)
-				status, _ := r.Call(edges[c%len(edges)], http.MethodPost, "/hold/"+id, id, map[string]string{"X-Deadline-Ms": "1500"}, "hold "+id, 2*time.Second)
-				r.Note("client %d gets %d for %s", c, status, id)
-				if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
-					mu.Lock()
-					refused[id] = status
-					mu.Unlock()
-				}
-				time.Sleep(time.Duration(rand.IntN(20)) * time.Millisecond)
-			}
-		})
+	for n := range streams {
+		leave := r.Trouble && n*leavers/streams != (n+1)*leavers/streams
+		readStream(r, edges[n%len(edges)], fmt.Sprintf("c%04d", n), leave)
+	}
+	r.Note("all streams have ended")
+	time.Sleep(calm)
+	if n := fleet[0].Active() + fleet[1].Active(); n > 0 {
+		return "", fmt.Errorf("%d requests still run at the workers before the step", n)
 	}
-	group.Wait()
+	submitted := time.Now()
+	if status, body := r.Call(edges[1], http.MethodPost, "/fit/0", job, nil, step(), 3*time.Second); status != http.StatusAccepted {
+		return "", fmt.Errorf("the step was answered with %d: %s", status, body)
+	}
+	r.Note("step %s of %d items accepted", job, items)
+	return readStep(r, edges, fleet, submitted), nil
 }
 
-// judge returns how the rules were broken, or an empty text.
-func judge(r *rig.Rig, fleet []*worker, refused map[string]int) string {
-	runs := make(map[string]int)
-	answers, refusals, copies := 0, 0, 0
-	for _, w := range fleet {
-		w.mu.Lock()
-		for id, n := range w.runs {
-			runs[id] += n
-		}
-		answers, refusals, copies = answers+w.answers, refusals+w.refusals, copies+w.copies
-		w.mu.Unlock()
+// readStream reads a stream, whole or until the client leaves.
+func readStream(r *rig.Rig, e *rig.Edge, id string, leave bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.Front+"/chat/a", strings.NewReader("question"))
+	if err != nil {
+		r.Note("client: %v", err)
+		return
 	}
-	r.Note("%d answers of workers, %d of them refusals; %d were sent twice", answers, refusals, copies)
-	twice, untrue := 0, 0
-	for id, n := range runs {
-		if n > 1 {
-			twice++
-			r.Note("%s ran %d times", id, n)
-		}
-		if status, ok := refused[id]; ok {
-			untrue++
-			r.Note("%s was answered with %d and ran", id, status)
-		}
+	req.Host = rig.Host
+	for k, v := range map[string]string{
+		"X-Api-Key": rig.Key, "X-Attempt-Id": id, "X-Deadline-Ms": "10000", "X-Model": "daka510000", "X-Token-Count": "100,25", "X-Prompt-Prefix": "9c2e41:100",
+	} {
+		req.Header.Set(k, v)
 	}
-	if twice+untrue == 0 {
-		return ""
+	r.Note("client sends %s to %s, leaves: %t", id, e.Name, leave)
+	if leave {
+		time.AfterFunc(leaveAfter, cancel)
 	}
-	return fmt.Sprintf("TWICE: %d of %d requests that are not idempotent ran more than once; REFUSED: %d were answered with 503 and had run", twice, len(runs), untrue)
-}
-
-// worker is a worker that can send an answer twice: the second time when the next
-// request has arrived on the same connection, before the answer to that.
-type worker struct {
-	rig   *rig.Rig
-	id    string
-	slots chan struct{}
-	// spoils reports whether an answer is sent twice; nil for never.
-	spoils func() bool
-	mu     sync.Mutex
-	// queued counts the requests that wait for a slot. runs counts the runs by the id
-	// of the request.
-	queued                    int
-	runs                      map[string]int
-	answers, refusals, copies int
+	res, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
+	if err != nil {
+		r.Note("client: %s ends: %v", id, err)
+		return
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	r.Note("client: %s gets %d and %d bytes, end: %v", id, res.StatusCode, len(b), err)
 }
 
-// start listens and registers the worker.
-func (w *worker) start() error {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+// step returns the body of a trainer's batch job.
+func step() string {
+	var list []map[string]any
+	for i := range items {
+		list = append(list, map[string]any{
+			"id": itemID(i), "path": "/fit/x", "headers": map[string]string{"X-Model": "daka510000", "X-Token-Count": "255,25", "X-Prompt-Prefix": fmt.Sprintf("5d07b8%d:255", i/groupSize)},
+			"body": "q83vEjRWeJA=", "token_count": 280, "group": fmt.Sprintf("g%d", i/groupSize),
+		})
 	}
-	w.rig.Store.Set("servers", w.id, fmt.Sprintf(
-		`{"service":"booking-desk","address":%q,"zone":"nz-north-a","version":"v1","slots":%d,"state":"ready","cold_remaining_ms":0,"seq":0,"born":1}`, ln.Addr(), slots))
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go w.serve(conn)
-		}
-	}()
-	return nil
+	b, _ := json.Marshal(map[string]any{
+		"step": 0, "model": "daka510000", "min_version": 1, "desired_count": items / groupSize * 9 / 10, "items": list,
+	})
+	return string(b)
 }
 
-// serve answers the requests of a connection, one after the other.
-func (w *worker) serve(conn net.Conn) {
-	defer conn.Close()
-	in := bufio.NewReader(conn)
-	var second []byte
-	for {
-		req, err := http.ReadRequest(in)
-		if err != nil {
-			return
-		}
-		if _, err := io.Copy(io.Discard, req.Body); err != nil {
-			return
+func itemID(i int) string { return fmt.Sprintf("e5b2907c14da%04d", i) }
+
+// readStep reads the results like a trainer, twice a second, until the groups that
+// it waits for are complete or its time is up. It returns how the rule was broken.
+func readStep(r *rig.Rig, edges []*rig.Edge, fleet []*rig.Worker, submitted time.Time) string {
+	most := 0
+	for n := 0; time.Since(submitted) < giveUpAfter; n++ {
+		most = max(most, fleet[0].Active()+fleet[1].Active())
+		page, status := r.Read(edges[n%len(edges)], job, 0)
+		groups := make(map[string]int)
+		for _, result := range page.Results {
+			groups[result.ID[:len(result.ID)-4]+fmt.Sprint(index(result.ID)/groupSize)]++
 		}
-		id := req.Header.Get("X-Attempt-Id")
-		if second != nil {
-			w.rig.Note("%s sends a second copy of an answer while %s is in hand", w.id, id)
-			if _, err := conn.Write(second); err != nil {
-				return
+		complete := 0
+		for _, size := range groups {
+			if size == groupSize {
+				complete++
 			}
-			second = nil
 		}
-		answer := w.answer(req, id)
-		if _, err := conn.Write(answer); err != nil {
-			return
+		r.Note("read: %d, %d of %d results, %d complete groups, %d requests run at workers", status, len(page.Results), page.Total, complete, fleet[0].Active()+fleet[1].Active())
+		if complete >= items/groupSize*9/10 {
+			return ""
 		}
-		w.mu.Lock()
-		w.answers++
-		if w.spoils != nil && w.spoils() {
-			w.copies++
-			second = answer
+		time.Sleep(500 * time.Millisecond)
+	}
+	begun := make(map[string]time.Time)
+	for _, w := range fleet {
+		for _, run := range w.Runs() {
+			begun[run.ID] = run.Began
 		}
-		w.mu.Unlock()
 	}
-}
-
-// answer runs or refuses a request and returns the answer.
-func (w *worker) answer(req *http.Request, id string) []byte {
-	res := http.Response{StatusCode: http.StatusOK, ProtoMajor: 1, ProtoMinor: 1, Header: make(http.Header)}
-	res.Header.Set("X-Attempt-Id", id)
-	body := ""
-	switch {
-	case req.Header.Get("X-Expect-Instance") != w.id:
-		res.StatusCode = http.StatusMisdirectedRequest
-	case !w.admit():
-		res.StatusCode = http.StatusServiceUnavailable
-		res.Header.Set("X-Not-Executed", "1")
-		w.mu.Lock()
-		w.refusals++
-		w.mu.Unlock()
-		w.rig.Note("%s refuses %s", w.id, id)
-	default:
-		w.mu.Lock()
-		w.runs[id]++
-		w.mu.Unlock()
-		w.rig.Note("%s runs %s: %s %s", w.id, id, req.Method, req.URL.Path)
-		time.Sleep(requestTime)
-		<-w.slots
-		res.Header.Set("X-Server-Stamp", rig.Stamp(w.id, id))
-		body = "done: " + id
+	some, waiting := 0, 0
+	for i := range items {
+		if _, ok := begun[itemID(i)]; ok {
+			some++
+		} else {
+			waiting++
+		}
 	}
-	res.Body, res.ContentLength = io.NopCloser(bytes.NewReader([]byte(body))), int64(len(body))
-	if body == "" {
-		res.Body = http.NoBody
-		res.Header.Set("Content-Length", "0")
+	r.Note("at most %d of %d places of the workers were taken", most, slots*workers)
+	if some == 0 {
+		return fmt.Sprintf("LOST: the step ran out of time and none of its %d items was ever sent to a worker", items)
 	}
-	var out bytes.Buffer
-	if err := res.Write(&out); err != nil {
-		w.rig.Note("%s: %v", w.id, err)
+	if waiting > 0 && most < slots*workers/2 && giveUpAfter > unserved {
+		return fmt.Sprintf("LOST: the step ran out of time after %s; %d of its items had begun, %d were at no worker all the while, at most %d of %d places were taken",
+			giveUpAfter, some, waiting, most, slots*workers)
 	}
-	return out.Bytes()
+	return ""
 }
 
-// admit takes a slot. It returns false if too many requests wait for one already.
-func (w *worker) admit() bool {
-	select {
-	case w.slots <- struct{}{}:
-		return true
-	default:
-	}
-	w.mu.Lock()
-	if w.queued >= queue {
-		w.mu.Unlock()
-		return false
-	}
-	w.queued++
-	w.mu.Unlock()
-	w.slots <- struct{}{}
-	w.mu.Lock()
-	w.queued--
-	w.mu.Unlock()
-	return true
+func index(id string) int {
+	var i int
+	_, _ = fmt.Sscanf(id[len(id)-4:], "%d", &i)
+	return i
 }
