--- a/review/3/main.go
+++ b/review/3/main.go
@@ -1,389 +1,248 @@
-// Command 3 kills the owner of a step while one of its writes to the platform's store
-// has not taken effect yet, later the next owner, and looks which runs of the workers
-// made the texts that the trainer gets.
+// Command 3 sends requests of a route that is not idempotent to two busy workers, of
+// which one sends a second copy of some of its answers, late. It counts the requests
+// that ran more than once, and those that were refused although they ran.
 package main
 
 import (
+	"bufio"
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
-	"strconv"
-	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/catkinhead/catkinhead/review/rig"
 )
 
 const (
-	workers   = 28
-	slots     = 2
-	items     = 56
-	groupSize = 4
-	events    = 70
-	// late is the least time by which a lost write takes effect late. window is how
-	// long the disruption of the store lasts.
-	late     = 1100 * time.Millisecond
-	window   = 4500 * time.Millisecond
-	readFor  = 20 * time.Second
-	rounds   = 6
-	routes   = `[{"name":"r-draft","hostname":"desk.example","path_prefix":"/draft/","route_kind":"rollout","timeout_ms":10000,"target_latency_ms":400,"priority":1,"service":"drafting-models","max_attempts":3,"queue_ttl_s":60.0,"result_deadline_ms":30000,"single_version":false,"public":false,"sticky":true,"resumable":true}]`
-	services = `[{"name":"drafting-models","health_path":"/healthz","max_conns":170,"protocol":"h1","tls":false,"engine":{"slots":2,"kv_capacity":49588,"models":[{"name":"daka510000"}]}}]`
+	// extraShare is the share of the answers of the first of two workers that it sends
+	// again, for extraTime.
+	extraShare = 0.03
+	extraTime  = 5 * time.Second
+	workers    = 2
+	clients    = 16
+	// A worker runs slots requests, lets queue more wait and refuses the others.
+	slots       = 3
+	queue       = 3
+	requestTime = 25 * time.Millisecond
+	routes      = `[{"name":"r-hold","hostname":"desk.example","path_prefix":"/hold/","route_kind":"non_idempotent","timeout_ms":1500,"target_latency_ms":150,"priority":1,"service":"booking-desk","max_attempts":2,"public":false}]`
+	services    = `[{"name":"booking-desk","health_path":"/healthz","max_conns":100,"protocol":"h1","tls":false}]`
 )
 
 func main() { rig.Main(run) }
 
-// fleet is the workers, and the runs of all of them.
-type fleet struct {
-	rig *rig.Rig
-	mu  sync.Mutex
-	// asked is, by the number of the run, the last event that it was asked to go on
-	// after, -1 for none.
-	asked []int
-}
-
-// begin numbers a run.
-func (f *fleet) begin(asked int) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.asked = append(f.asked, asked)
-	return len(f.asked) - 1
-}
-
-// worker runs items at a speed of its own. The data of an event names its run, as
-// the tokens of two runs differ.
-type worker struct {
-	fleet *fleet
-	id    string
-	every time.Duration
-	slots chan struct{}
-}
-
-// ServeHTTP runs an item.
-func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("X-Attempt-Id")
-	if r.Header.Get("X-Expect-Instance") != w.id {
-		rw.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	}
-	if _, err := io.ReadAll(r.Body); err != nil {
-		return
-	}
-	rw.Header().Set("X-Attempt-Id", id)
-	select {
-	case w.slots <- struct{}{}:
-	case <-time.After(2 * time.Second):
-		rw.Header().Set("X-Not-Executed", "1")
-		rw.WriteHeader(http.StatusServiceUnavailable)
-		return
-	case <-r.Context().Done():
-		return
-	}
-	defer func() { <-w.slots }()
-	last, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	if err != nil {
-		last = -1
-	}
-	run := w.fleet.begin(last)
-	w.fleet.rig.Note("%s begins run %d of %s after event %d", w.id, run, id, last)
-	h := rw.Header()
-	h.Set("X-Server-Stamp", rig.Stamp(w.id, id))
-	h.Set("X-Weight-Versions", "1")
-	h.Set("Content-Type", "text/event-stream")
-	rc := http.NewResponseController(rw)
-	for n := last + 1; n < events; n++ {
-		select {
-		case <-time.After(w.every):
-		case <-r.Context().Done():
-			w.fleet.rig.Note("run %d of %s is ended by its sender before event %d", run, id, n)
-			return
-		}
-		if _, err := fmt.Fprintf(rw, "id: %d\ndata: %s event %d run %d\n\n", n, id, n, run); err != nil {
-			return
+func run(r *rig.Rig) (string, error) {
+	r.Configure(3, routes, services)
+	var spoils atomic.Bool
+	var fleet []*worker
+	for i := range workers {
+		w := &worker{rig: r, id: fmt.Sprintf("i-desk-%d", i), slots: make(chan struct{}, slots), runs: make(map[string]int)}
+		if i == 0 {
+			w.spoils = func() bool { return spoils.Load() && rand.Float64() < extraShare }
 		}
-		if rc.Flush() != nil {
-			return
+		if err := w.start(); err != nil {
+			return "", err
 		}
+		fleet = append(fleet, w)
 	}
-	w.fleet.rig.Note("run %d of %s has made its last event", run, id)
-}
-
-// chunk is what the case reads of a stored chunk, to find out when two owners have
-// stored texts of an item that fit together by their lengths.
-type chunk struct {
-	Owner string
-	Parts []struct {
-		ID, Line string
-		From     int
-		Events   []string
-	}
-}
-
-// store is the platform's store. Of the writes in window, a write of results of the
-// first owner and the next owner's claim get no answer. The former takes effect late.
-type store struct {
-	rig   *rig.Rig
-	inner http.Handler
-	mu    sync.Mutex
-	// job is the step whose results are disturbed.
-	job string
-	// held is the first owner's write: one that goes on with a quarter or more of the texts that
-	// are stored already. began is when it came.
-	held     []byte
-	heldPath string
-	began    time.Time
-	// all counts the writes in window, lost those of them without an answer.
-	lost, all  int
-	heldSignal chan struct{}
-	// ends is, by the lineage of a text, where the held text ends. fits gets the owner
-	// that has stored events of the same lineage from there on.
-	ends map[string]int
-	fits chan string
-}
-
-type discard struct{ status int }
-
-func (*discard) Header() http.Header         { return make(http.Header) }
-func (*discard) Write(b []byte) (int, error) { return len(b), nil }
-func (d *discard) WriteHeader(status int)    { d.status = status }
-
-func (s *store) replay(path string, b []byte) int {
-	req, err := http.NewRequest(http.MethodPost, path, bytes.NewReader(b))
-	if err != nil {
-		return 0
-	}
-	d := &discard{status: http.StatusOK}
-	s.inner.ServeHTTP(d, req)
-	return d.status
-}
-
-// ServeHTTP serves the store's interface.
-func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.Method == http.MethodGet {
-		s.inner.ServeHTTP(w, r)
-		return
-	}
-	body, err := io.ReadAll(r.Body)
+	edges, err := r.StartEdges(2)
 	if err != nil {
-		return
-	}
-	r.Body = io.NopCloser(bytes.NewReader(body))
-	if s.loses(r, body) {
-		panic(http.ErrAbortHandler)
-	}
-	s.inner.ServeHTTP(w, r)
-}
-
-// loses decides whether a write gets no answer.
-func (s *store) loses(r *http.Request, body []byte) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	inWindow := !s.began.IsZero() && time.Since(s.began) < window
-	if inWindow {
-		s.all++
-	}
-	if !s.rig.Trouble || r.Method != http.MethodPost || !strings.HasPrefix(r.URL.Path, "/objects/results-"+s.job+"/") {
-		return false
-	}
-	var object struct{ Spec chunk }
-	if err := json.Unmarshal(body, &object); err != nil {
-		return false
-	}
-	s.rig.Note("store: %s writes %s, %d texts", object.Spec.Owner, r.URL.Path, len(object.Spec.Parts))
-	switch {
-	case s.held == nil:
-		return s.hold(r.URL.Path, body, object.Spec)
-	case inWindow && s.lost == 1:
-		s.lost++
-		s.rig.Note("store: the write gets no answer")
-		time.AfterFunc(max(time.Until(s.began.Add(late)), 50*time.Millisecond), func() {
-			s.rig.Note("store: the held write takes effect %s later: %d", time.Since(s.began), s.replay(s.heldPath, s.held))
-		})
-		return true
+		return "", err
 	}
-	for _, part := range object.Spec.Parts {
-		if end, ok := s.ends[part.Line]; ok && part.From == end {
-			s.rig.Note("store: %s goes on with %s at event %d, where the held text ends", object.Spec.Owner, part.ID, part.From)
-			select {
-			case s.fits <- object.Spec.Owner:
-			default:
+	refused := make(map[string]int)
+	sendRequests(r, edges, "calm", time.Second, refused)
+	spoils.Store(r.Trouble)
+	r.Note("second copies begin: %t", r.Trouble)
+	sendRequests(r, edges, "late", extraTime, refused)
+	spoils.Store(false)
+	sendRequests(r, edges, "last", time.Second, refused)
+	return judge(r, fleet, refused), nil
+}
+
+// sendRequests sends requests from several clients, each with an attempt id of its
+// own. No client repeats a request. The ids of those that are refused go to refused.
+func sendRequests(r *rig.Rig, edges []*rig.Edge, phase string, lasts time.Duration, refused map[string]int) {
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	until := time.Now().Add(lasts)
+	for c := range clients {
+		group.Go(func() {
+			for n := 0; time.Now().Before(until); n++ {
+				id := fmt.Sprintf("%s-%d-%d", phase, c, n)
+				r.Note("client %d sends POST /hold/%s", c, id)
+				status, _ := r.Call(edges[c%len(edges)], http.MethodPost, "/hold/"+id, id, map[string]string{"X-Deadline-Ms": "1500"}, "hold "+id, 2*time.Second)
+				r.Note("client %d gets %d for %s", c, status, id)
+				if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+					mu.Lock()
+					refused[id] = status
+					mu.Unlock()
+				}
+				time.Sleep(time.Duration(rand.IntN(20)) * time.Millisecond)
 			}
-		}
+		})
 	}
-	return false
+	group.Wait()
 }
 
-// hold keeps back a write if it goes on with a quarter of the texts.
-func (s *store) hold(path string, body []byte, c chunk) bool {
-	ends := make(map[string]int)
-	for _, part := range c.Parts {
-		if part.From > 0 {
-			ends[part.Line] = part.From + len(part.Events)
+// judge returns how the rules were broken, or an empty text.
+func judge(r *rig.Rig, fleet []*worker, refused map[string]int) string {
+	runs := make(map[string]int)
+	answers, refusals, copies := 0, 0, 0
+	for _, w := range fleet {
+		w.mu.Lock()
+		for id, n := range w.runs {
+			runs[id] += n
 		}
-	}
-	if len(ends) < items/4 {
-		return false
-	}
-	s.held, s.heldPath, s.began, s.ends, s.lost, s.all = body, path, time.Now(), ends, 1, 1
-	s.rig.Note("store: the write gets no answer and takes effect later")
-	close(s.heldSignal)
-	return true
-}
-
-func run(r *rig.Rig) (string, error) {
-	s := &store{rig: r, inner: r.Store}
-	var err error
-	if r.StoreAddress, err = r.Serve(s); err != nil {
-		return "", err
-	}
-	r.Configure(3, routes, services)
-	f := &fleet{rig: r}
-	for i := range workers {
-		w := &worker{fleet: f, id: fmt.Sprintf("i-draft-%02d", i), every: time.Duration(70+rand.IntN(50)) * time.Millisecond, slots: make(chan struct{}, slots)}
-		at, err := r.Serve(w)
-		if err != nil {
-			return "", err
+		answers, refusals, copies = answers+w.answers, refusals+w.refusals, copies+w.copies
+		w.mu.Unlock()
+	}
+	r.Note("%d answers of workers, %d of them refusals; %d were sent twice", answers, refusals, copies)
+	twice, untrue := 0, 0
+	for id, n := range runs {
+		if n > 1 {
+			twice++
+			r.Note("%s ran %d times", id, n)
 		}
-		r.Store.Set("servers", w.id, fmt.Sprintf(
-			`{"service":"drafting-models","address":%q,"zone":"nz-north-a","version":"v1","slots":%d,"state":"ready","cold_remaining_ms":0,"phase":"both","models":[{"name":"daka510000","version":1,"adapters":[]}],"seq":0,"born":1}`, at, slots))
-	}
-	for n := range rounds {
-		violation, err := round(r, s, f, n)
-		if err != nil || violation != "" {
-			return violation, err
+		if status, ok := refused[id]; ok {
+			untrue++
+			r.Note("%s was answered with %d and ran", id, status)
 		}
 	}
-	return "", nil
+	if twice+untrue == 0 {
+		return ""
+	}
+	return fmt.Sprintf("TWICE: %d of %d requests that are not idempotent ran more than once; REFUSED: %d were answered with 503 and had run", twice, len(runs), untrue)
 }
 
-// round hands in a step, disturbs it and reads its results, with three edges that
-// start before it.
-func round(r *rig.Rig, s *store, f *fleet, n int) (string, error) {
-	edges, err := r.StartEdges(3)
+// worker is a worker that can send an answer twice: the second time when the next
+// request has arrived on the same connection, before the answer to that.
+type worker struct {
+	rig   *rig.Rig
+	id    string
+	slots chan struct{}
+	// spoils reports whether an answer is sent twice; nil for never.
+	spoils func() bool
+	mu     sync.Mutex
+	// queued counts the requests that wait for a slot. runs counts the runs by the id
+	// of the request.
+	queued                    int
+	runs                      map[string]int
+	answers, refusals, copies int
+}
+
+// start listens and registers the worker.
+func (w *worker) start() error {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return "", err
-	}
-	defer func() {
-		for _, e := range edges {
-			e.Kill()
-		}
-	}()
-	job := fmt.Sprintf("7c41e09b52d6a3f%d", n)
-	held, fits := s.reset(job)
-	if status, body := r.Call(edges[0], http.MethodPost, "/draft/0", job, nil, step(n), 3*time.Second); status != http.StatusAccepted {
-		return "", fmt.Errorf("the step was answered with %d: %s", status, body)
-	}
-	r.Note("step %s accepted by %s", job, edges[0].Name)
-	live := edges
-	if r.Trouble {
-		select {
-		case <-held:
-		case <-time.After(5 * time.Second):
-			return "", fmt.Errorf("the owner wrote too few results")
-		}
-		time.Sleep(50 * time.Millisecond)
-		edges[0].Kill()
-		live = edges[1:]
-		select {
-		case owner := <-fits:
-			time.Sleep(100 * time.Millisecond)
-			for i, e := range edges {
-				if e.Name == owner {
-					e.Kill()
-					live = []*rig.Edge{edges[3-i]}
-				}
+		return fmt.Errorf("listen: %w", err)
+	}
+	w.rig.Store.Set("servers", w.id, fmt.Sprintf(
+		`{"service":"booking-desk","address":%q,"zone":"nz-north-a","version":"v1","slots":%d,"state":"ready","cold_remaining_ms":0,"seq":0,"born":1}`, ln.Addr(), slots))
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
 			}
-		case <-time.After(6 * time.Second):
-			r.Note("no texts that fit by their lengths")
+			go w.serve(conn)
 		}
-	}
-	violation := readStep(r, f, live, job)
-	s.report()
-	return violation, nil
-}
-
-// reset prepares the store for a step. The first channel is closed when a write is
-// held, the second gets the owner that has stored events from the end of a held text
-// on.
-func (s *store) reset(job string) (<-chan struct{}, <-chan string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.job, s.held, s.began, s.lost, s.all, s.ends = job, nil, time.Time{}, 0, 0, nil
-	s.heldSignal, s.fits = make(chan struct{}), make(chan string, 1)
-	return s.heldSignal, s.fits
-}
-
-// report notes how many writes got no answer.
-func (s *store) report() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.rig.Note("store: %d of %d writes in %s got no answer", s.lost, s.all, window)
-}
-
-// step returns the body of a trainer's batch job.
-func step(round int) string {
-	var list []map[string]any
-	for i := range items {
-		list = append(list, map[string]any{
-			"id": fmt.Sprintf("a5b2907c1%d%06d", round, i), "path": "/draft/x", "headers": map[string]string{"X-Model": "daka510000", "X-Token-Count": "255,220", "X-Prompt-Prefix": fmt.Sprintf("5d07b8%d:255", i/groupSize)},
-			"body": "q83vEjRWeJA=", "token_count": 475, "group": fmt.Sprintf("g%d", i/groupSize),
-		})
-	}
-	b, _ := json.Marshal(map[string]any{
-		"step": round, "model": "daka510000", "min_version": 1, "desired_count": items / groupSize, "items": list,
-	})
-	return string(b)
+	}()
+	return nil
 }
 
-// readStep reads the results until all are listed, and returns how the rule was
-// broken.
-func readStep(r *rig.Rig, f *fleet, edges []*rig.Edge, job string) string {
-	var page rig.Page
-	for began := time.Now(); len(page.Results) < items && time.Since(began) < readFor; time.Sleep(500 * time.Millisecond) {
-		if p, status := r.Read(edges[0], job, 0); status == http.StatusOK {
-			page = p
+// serve answers the requests of a connection, one after the other.
+func (w *worker) serve(conn net.Conn) {
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	var second []byte
+	for {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
 		}
-		r.Note("read: %d of %d results", len(page.Results), items)
-	}
-	broken := 0
-	for _, result := range page.Results {
-		if result.State != "completed" {
-			continue
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
 		}
-		if err := f.check(result.Text); err != nil {
-			broken++
-			r.Note("%s: %v", result.ID, err)
+		id := req.Header.Get("X-Attempt-Id")
+		if second != nil {
+			w.rig.Note("%s sends a second copy of an answer while %s is in hand", w.id, id)
+			if _, err := conn.Write(second); err != nil {
+				return
+			}
+			second = nil
 		}
+		answer := w.answer(req, id)
+		if _, err := conn.Write(answer); err != nil {
+			return
+		}
+		w.mu.Lock()
+		w.answers++
+		if w.spoils != nil && w.spoils() {
+			w.copies++
+			second = answer
+		}
+		w.mu.Unlock()
 	}
-	if broken > 0 {
-		return fmt.Sprintf("ORDER: %d of %d texts join the events of runs of which the later wasn't asked to go on there", broken, len(page.Results))
-	}
-	return ""
 }
 
-// check returns an error if an event is missing or stands twice, or if a run goes on
-// where it was not asked to.
-func (f *fleet) check(text string) error {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	previous := -1
-	lines := strings.Split(text, "\n")
-	for n, line := range lines {
-		var id string
-		var event, run int
-		if _, err := fmt.Sscanf(line, "%s event %d run %d", &id, &event, &run); err != nil || event != n {
-			return fmt.Errorf("line %d is %q", n, line)
-		}
-		if run != previous && f.asked[run] != n-1 {
-			return fmt.Errorf("goes on after event %d of run %d with run %d, which was asked to go on after event %d", n-1, previous, run, f.asked[run])
-		}
-		previous = run
+// answer runs or refuses a request and returns the answer.
+func (w *worker) answer(req *http.Request, id string) []byte {
+	res := http.Response{StatusCode: http.StatusOK, ProtoMajor: 1, ProtoMinor: 1, Header: make(http.Header)}
+	res.Header.Set("X-Attempt-Id", id)
+	body := ""
+	switch {
+	case req.Header.Get("X-Expect-Instance") != w.id:
+		res.StatusCode = http.StatusMisdirectedRequest
+	case !w.admit():
+		res.StatusCode = http.StatusServiceUnavailable
+		res.Header.Set("X-Not-Executed", "1")
+		w.mu.Lock()
+		w.refusals++
+		w.mu.Unlock()
+		w.rig.Note("%s refuses %s", w.id, id)
+	default:
+		w.mu.Lock()
+		w.runs[id]++
+		w.mu.Unlock()
+		w.rig.Note("%s runs %s: %s %s", w.id, id, req.Method, req.URL.Path)
+		time.Sleep(requestTime)
+		<-w.slots
+		res.Header.Set("X-Server-Stamp", rig.Stamp(w.id, id))
+		body = "done: " + id
+	}
+	res.Body, res.ContentLength = io.NopCloser(bytes.NewReader([]byte(body))), int64(len(body))
+	if body == "" {
+		res.Body = http.NoBody
+		res.Header.Set("Content-Length", "0")
+	}
+	var out bytes.Buffer
+	if err := res.Write(&out); err != nil {
+		w.rig.Note("%s: %v", w.id, err)
+	}
+	return out.Bytes()
+}
+
+// admit takes a slot. It returns false if too many requests wait for one already.
+func (w *worker) admit() bool {
+	select {
+	case w.slots <- struct{}{}:
+		return true
+	default:
 	}
-	if len(lines) != events {
-		return fmt.Errorf("has %d of %d events", len(lines), events)
+	w.mu.Lock()
+	if w.queued >= queue {
+		w.mu.Unlock()
+		return false
 	}
-	return nil
+	w.queued++
+	w.mu.Unlock()
+	w.slots <- struct{}{}
+	w.mu.Lock()
+	w.queued--
+	w.mu.Unlock()
+	return true
 }
