--- a/review/3/main.go
+++ b/review/3/main.go
@@ -1,4 +1,4 @@
-// Command 3 sends requests of a route that is not idempotent to two busy workers, of
+// Command 3 sends requests of a route that is not idempotent to three busy workers, of
 // which one sends a second copy of some of its answers, late. It counts the requests
 // that ran more than once, and those that were refused although they ran.
 package main
@@ -19,7 +19,7 @@
 )
 
 const (
-	// extraShare is the share of the answers of the first of two workers that it sends
+	// extraShare is the share of the answers of the first of the workers that it sends
 	// again, for extraTime.
 	extraShare = 0.03
 	extraTime  = 5 * time.Second
