--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -31,9 +31,11 @@
 const (
 	// Binary is the program as the deploy file builds it.
 	Binary = "target/catkinhead"
-	// Host is the host name of all routes, Key the key of the tenant Tenant.
-	Host   = "desk.example"
-	Key    = "2b9wu3fexd9dnn2ctnfz"
+	// Host is the host name of all routes.
+	Host = "desk.example"
+	// Key is the key of the tenant that Tenant names.
+	Key = "2b9wu3fexd9dnn2ctnfz"
+	// Tenant is the tenant of all clients.
 	Tenant = "huka270"
 	zone   = "nz-north-a"
 )
