review: texts of a step that is not ended yet are joined with those of the next

A script: while the end of a step hangs at a frozen machine, the next step repeats the groups that were not complete, and takes their texts from the first one. The two texts share memory, and each run overwrites events of the other.

--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -21,6 +22,14 @@
 	Events      int
 	EventEvery  time.Duration
 	RequestTime time.Duration
+	// EventsOf returns the number of events of an item's stream; nil for Events.
+	EventsOf func(id string) int
+	// Sampled is set if each run makes a text of its own: the data of an event then
+	// ends with the number of the run, which is unique among all workers.
+	Sampled bool
+	// LoadTime is how long the worker takes to load a version. Meanwhile it refuses
+	// requests that have not started.
+	LoadTime time.Duration
 	// Lose reports whether the worker closes the connection instead of answering
 	// a request that has just run; nil for never.
 	Lose func(r *http.Request) bool
@@ -35,9 +44,13 @@
 	mu      sync.Mutex
 	queued  int
 	version int
+	loading bool
 	runs    []*Run
 }
 
+// serials numbers the runs of all workers.
+var serials atomic.Int64
+
 // Order is an order to a worker.
 type Order struct {
 	Op      string `json:"op"`
@@ -51,6 +64,8 @@
 // Run is one run of a request at a worker.
 type Run struct {
 	ID, Method, Path, Worker, LastEvent, Tenant string
+	// Serial is the number of the run among those of all workers.
+	Serial int64
 	Began, Ended                                time.Time
 	// Finished is set if the run made its last event or answer.
 	Finished bool
@@ -113,22 +128,22 @@
 		return
 	}
 	rw.Header().Set("X-Attempt-Id", id)
-	if !w.admit(r) {
+	if w.loads() || !w.admit(r) {
 		rw.Header().Set("X-Not-Executed", "1")
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	defer func() { <-w.slots }()
-	run := &Run{ID: id, Method: r.Method, Path: r.URL.Path, Worker: w.ID, LastEvent: r.Header.Get("Last-Event-Id"), Tenant: r.Header.Get("X-Tenant"), Began: time.Now()}
+	run := &Run{ID: id, Method: r.Method, Path: r.URL.Path, Worker: w.ID, LastEvent: r.Header.Get("Last-Event-Id"), Tenant: r.Header.Get("X-Tenant"), Serial: serials.Add(1), Began: time.Now()}
 	w.mu.Lock()
 	w.runs = append(w.runs, run)
 	w.mu.Unlock()
-	w.rig.Note("%s runs %s: %s %s, %d bytes, Last-Event-Id %q", w.ID, id, r.Method, r.URL.Path, len(body), run.LastEvent)
+	w.rig.Note("%s runs %s as run %d: %s %s, %d bytes, Last-Event-Id %q", w.ID, id, run.Serial, r.Method, r.URL.Path, len(body), run.LastEvent)
 	defer func() {
 		w.mu.Lock()
 		run.Ended = time.Now()
 		w.mu.Unlock()
-		w.rig.Note("%s ends %s, finished: %t", w.ID, id, run.Finished)
+		w.rig.Note("%s ends run %d of %s, finished: %t", w.ID, run.Serial, id, run.Finished)
 	}()
 	if r.Header.Get("X-Model") != "" {
 		w.stream(rw, r, run)
@@ -189,21 +204,29 @@
 	if n, err := strconv.Atoi(run.LastEvent); err == nil {
 		from = n + 1
 	}
-	w.mu.Lock()
-	version := w.version
-	w.mu.Unlock()
+	version, events := w.Version(), w.Events
+	if w.EventsOf != nil {
+		events = w.EventsOf(run.ID)
+	}
 	h := rw.Header()
 	h.Set("X-Server-Stamp", Stamp(w.ID, run.ID))
 	h.Set("X-Weight-Versions", strconv.Itoa(version))
 	h.Set("Content-Type", "text/event-stream")
 	rc := http.NewResponseController(rw)
-	for n := from; n < w.Events; n++ {
+	for n := from; n < events; n++ {
 		select {
 		case <-time.After(w.EventEvery):
 		case <-r.Context().Done():
 			return
 		}
-		if _, err := fmt.Fprintf(rw, "id: %d\ndata: %s\n\n", n, EventData(run.ID, n)); err != nil {
+		change, data := "", EventData(run.ID, n)
+		if v := w.Version(); v != version {
+			version, change = v, fmt.Sprintf("x-weight-versions: %d\n", v)
+		}
+		if w.Sampled {
+			data += fmt.Sprintf("-%d", run.Serial)
+		}
+		if _, err := fmt.Fprintf(rw, "%sid: %d\ndata: %s\n\n", change, n, data); err != nil {
 			return
 		}
 		if rc.Flush() != nil {
@@ -213,10 +236,24 @@
 	w.finish(run)
 }
 
+// Version returns the version of the worker's weights.
+func (w *Worker) Version() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.version
+}
+
+// loads reports whether the worker loads a version.
+func (w *Worker) loads() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.loading
+}
+
 // EventData returns the data of an event.
 func EventData(id string, n int) string { return fmt.Sprintf("%s-%d", id, n) }
 
-// order takes an order and loads the version at once.
+// order takes an order and loads the version, at once if LoadTime is not set.
 func (w *Worker) order(rw http.ResponseWriter, r *http.Request) {
 	var o Order
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil || o.Holder == "" || o.Fence == 0 {
@@ -228,6 +265,10 @@
 	if w.OnOrder != nil {
 		w.OnOrder(o)
 	}
+	if w.LoadTime > 0 {
+		w.load(rw, o)
+		return
+	}
 	w.mu.Lock()
 	done := w.version >= o.Version
 	w.version = max(w.version, o.Version)
@@ -243,6 +284,28 @@
 	}()
 }
 
+// load carries out an order, which takes LoadTime.
+func (w *Worker) load(rw http.ResponseWriter, o Order) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case w.loading:
+		rw.WriteHeader(http.StatusConflict)
+	case w.version == o.Version:
+		rw.WriteHeader(http.StatusOK)
+	default:
+		w.loading = true
+		rw.WriteHeader(http.StatusAccepted)
+		time.AfterFunc(w.LoadTime, func() {
+			w.mu.Lock()
+			w.loading, w.version = false, o.Version
+			w.mu.Unlock()
+			w.rig.Note("%s has loaded version %d", w.ID, o.Version)
+			w.register(w.at)
+		})
+	}
+}
+
 // Reset closes a connection so that its peer sees a reset.
 func Reset(c net.Conn) {
 	if t, ok := c.(*net.TCPConn); ok {
