--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,6 +28,8 @@
 	// Sampled is set if each run makes a text of its own: the data of an event then
 	// ends with the number of the run, which is unique among all workers.
 	Sampled bool
+	// Models are the models whose weights the worker has; nil for Model alone.
+	Models []string
 	// LoadTime is how long the worker takes to load a version. Meanwhile it refuses
 	// requests that have not started.
 	LoadTime time.Duration
@@ -38,16 +41,20 @@
 	// OnOrder is called with each order that arrives; it may be nil.
 	OnOrder func(o Order)
 
-	rig     *Rig
-	at      string
-	slots   chan struct{}
-	mu      sync.Mutex
-	queued  int
-	version int
-	loading bool
-	runs    []*Run
+	rig    *Rig
+	at     string
+	slots  chan struct{}
+	mu     sync.Mutex
+	queued int
+	runs   []*Run
+	// versions are the versions of the models, loading the model that is being loaded.
+	versions map[string]int
+	loading  string
 }
 
+// Model is the model that workers serve if nothing else is said.
+const Model = "daka510000"
+
 // serials numbers the runs of all workers.
 var serials atomic.Int64
 
@@ -65,15 +72,21 @@
 type Run struct {
 	ID, Method, Path, Worker, LastEvent, Tenant string
 	// Serial is the number of the run among those of all workers.
-	Serial int64
-	Began, Ended                                time.Time
+	Serial       int64
+	Began, Ended time.Time
 	// Finished is set if the run made its last event or answer.
 	Finished bool
 }
 
 // AddWorker starts a worker and registers it in the store.
 func (r *Rig) AddWorker(w *Worker) error {
-	w.rig, w.slots, w.version = r, make(chan struct{}, w.Slots), 1
+	if w.Models == nil {
+		w.Models = []string{Model}
+	}
+	w.rig, w.slots, w.versions = r, make(chan struct{}, w.Slots), make(map[string]int)
+	for _, m := range w.Models {
+		w.versions[m] = 1
+	}
 	at, err := r.Serve(w)
 	if err != nil {
 		return err
@@ -92,9 +105,13 @@
 func (w *Worker) register(at string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	var models []string
+	for _, m := range w.Models {
+		models = append(models, fmt.Sprintf(`{"name":%q,"version":%d,"adapters":[]}`, m, w.versions[m]))
+	}
 	w.rig.Store.Set("servers", w.ID, fmt.Sprintf(
-		`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":"ready","cold_remaining_ms":0,"phase":"both","models":[{"name":"daka510000","version":%d,"adapters":[]}],"seq":0,"born":1}`,
-		w.Service, at, zone, w.Slots, w.version))
+		`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":"ready","cold_remaining_ms":0,"phase":"both","models":[%s],"seq":0,"born":1}`,
+		w.Service, at, zone, w.Slots, strings.Join(models, ",")))
 }
 
 // Runs returns the runs so far.
@@ -128,7 +145,7 @@
 		return
 	}
 	rw.Header().Set("X-Attempt-Id", id)
-	if w.loads() || !w.admit(r) {
+	if w.loads(r.Header.Get("X-Model")) || !w.admit(r) {
 		rw.Header().Set("X-Not-Executed", "1")
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -204,7 +221,8 @@
 	if n, err := strconv.Atoi(run.LastEvent); err == nil {
 		from = n + 1
 	}
-	version, events := w.Version(), w.Events
+	model := r.Header.Get("X-Model")
+	version, events := w.Version(model), w.Events
 	if w.EventsOf != nil {
 		events = w.EventsOf(run.ID)
 	}
@@ -220,7 +238,7 @@
 			return
 		}
 		change, data := "", EventData(run.ID, n)
-		if v := w.Version(); v != version {
+		if v := w.Version(model); v != version {
 			version, change = v, fmt.Sprintf("x-weight-versions: %d\n", v)
 		}
 		if w.Sampled {
@@ -236,18 +254,18 @@
 	w.finish(run)
 }
 
-// Version returns the version of the worker's weights.
-func (w *Worker) Version() int {
+// Version returns the version of a model's weights.
+func (w *Worker) Version(model string) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.version
+	return w.versions[model]
 }
 
-// loads reports whether the worker loads a version.
-func (w *Worker) loads() bool {
+// loads reports whether the worker loads a version of a model.
+func (w *Worker) loads(model string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.loading
+	return model != "" && w.loading == model
 }
 
 // EventData returns the data of an event.
@@ -270,8 +288,8 @@
 		return
 	}
 	w.mu.Lock()
-	done := w.version >= o.Version
-	w.version = max(w.version, o.Version)
+	done := w.versions[o.Model] >= o.Version
+	w.versions[o.Model] = max(w.versions[o.Model], o.Version)
 	w.mu.Unlock()
 	if done {
 		rw.WriteHeader(http.StatusOK)
@@ -289,18 +307,18 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch {
-	case w.loading:
+	case w.loading != "":
 		rw.WriteHeader(http.StatusConflict)
-	case w.version == o.Version:
+	case w.versions[o.Model] == o.Version:
 		rw.WriteHeader(http.StatusOK)
 	default:
-		w.loading = true
+		w.loading = o.Model
 		rw.WriteHeader(http.StatusAccepted)
 		time.AfterFunc(w.LoadTime, func() {
 			w.mu.Lock()
-			w.loading, w.version = false, o.Version
+			w.loading, w.versions[o.Model] = "", o.Version
 			w.mu.Unlock()
-			w.rig.Note("%s has loaded version %d", w.ID, o.Version)
+			w.rig.Note("%s has loaded version %d of %s", w.ID, o.Version, o.Model)
 			w.register(w.at)
 		})
 	}
