--- a/review/7/main.go
+++ b/review/7/main.go
@@ -23,11 +23,12 @@
 
 const (
 	groupSize = 4
-	groups    = 5
+	groups    = 10
 	wanted    = groups * 9 / 10
-	// A model worker has slots places, one of the service of the reward calls has
-	// scoreSlots. A reward call takes scoreTime.
-	slots      = 24
+	// The model worker has slots places, that of the service of the reward calls has
+	// scoreSlots. A reward call takes scoreTime, so the reward calls of a step take
+	// longer than its texts.
+	slots      = 48
 	events     = 20
 	eventEvery = 30 * time.Millisecond
 	scoreSlots = 3
@@ -36,7 +37,7 @@
 	// lostShare is the share of the writes whose answer the store loses, for lostTime
 	// at a time, with calmTime between.
 	lostShare = 0.35
-	lostTime  = 5500 * time.Millisecond
+	lostTime  = 4500 * time.Millisecond
 	calmTime  = 500 * time.Millisecond
 	// lasts bounds the time in which steps are handed in.
 	lasts = 95 * time.Second
@@ -46,17 +47,14 @@
 	every       = 4 * time.Second
 	training    = 500 * time.Millisecond
 	readEvery   = 500 * time.Millisecond
-	giveUpAfter = 12 * time.Second
-	// trainerRoute is the part that the routes of the trainers have in common.
-	trainerRoute = `"hostname":"desk.example","route_kind":"rollout","timeout_ms":10000,"target_latency_ms":400,"priority":1,"service":"warp-tutor","max_attempts":3,"queue_ttl_s":40.0,"result_deadline_ms":7500,"single_version":false,"public":false,"sticky":true,"resumable":true`
-	scoreRoute   = `{"name":"r-sync","hostname":"desk.example","path_prefix":"/sync/","route_kind":"idempotent","timeout_ms":1500,"target_latency_ms":150,"priority":2,"service":"beam-counter","max_attempts":2,"public":false}`
-	services     = `[{"name":"warp-tutor","health_path":"/healthz","max_conns":150,"protocol":"h1","tls":false,"engine":{"slots":24,"kv_capacity":52791,"models":[{"name":"m0"},{"name":"m1"},{"name":"m2"}]}},
+	giveUpAfter = 2400 * time.Millisecond
+	routes      = `[
+{"name":"r-draft","hostname":"desk.example","path_prefix":"/draft/","route_kind":"rollout","timeout_ms":10000,"target_latency_ms":400,"priority":1,"service":"warp-tutor","max_attempts":3,"queue_ttl_s":40.0,"result_deadline_ms":1500,"single_version":false,"public":false,"sticky":true,"resumable":true},
+{"name":"r-sync","hostname":"desk.example","path_prefix":"/sync/","route_kind":"idempotent","timeout_ms":1500,"target_latency_ms":150,"priority":2,"service":"beam-counter","max_attempts":2,"public":false}]`
+	services = `[{"name":"warp-tutor","health_path":"/healthz","max_conns":150,"protocol":"h1","tls":false,"engine":{"slots":48,"kv_capacity":52791,"models":[{"name":"daka510000"}]}},
 {"name":"beam-counter","health_path":"/healthz","max_conns":110,"protocol":"h1","tls":false}]`
 )
 
-// models are the models of the trainers.
-var models = []string{"m0", "m1", "m2"}
-
 func main() { rig.Main(run) }
 
 func run(r *rig.Rig) (string, error) {
@@ -66,23 +64,14 @@
 		return "", err
 	}
 	r.StoreAddress = address
-	routes := []string{scoreRoute}
-	var scorers []*rig.Worker
-	for i, m := range models {
-		routes = append(routes, fmt.Sprintf(`{"name":"r-%s","path_prefix":"/%s/",%s}`, m, m, trainerRoute))
-		tutor := &rig.Worker{
-			ID: fmt.Sprintf("i-tutor-%d", i), Service: "warp-tutor", Slots: slots, Events: events, EventEvery: eventEvery,
-			Models: models, LoadTime: loadTime,
-		}
-		scorer := &rig.Worker{ID: fmt.Sprintf("i-counter-%d", i), Service: "beam-counter", Slots: scoreSlots, RequestTime: scoreTime}
-		for _, w := range []*rig.Worker{tutor, scorer} {
-			if err := r.AddWorker(w); err != nil {
-				return "", err
-			}
+	r.Configure(3, routes, services)
+	tutor := &rig.Worker{ID: "i-tutor-0", Service: "warp-tutor", Slots: slots, Events: events, EventEvery: eventEvery, LoadTime: loadTime}
+	scorer := &rig.Worker{ID: "i-counter-0", Service: "beam-counter", Slots: scoreSlots, RequestTime: scoreTime}
+	for _, w := range []*rig.Worker{tutor, scorer} {
+		if err := r.AddWorker(w); err != nil {
+			return "", err
 		}
-		scorers = append(scorers, scorer)
 	}
-	r.Configure(3, "["+strings.Join(routes, ",")+"]", services)
 	edges, err := r.StartEdges(2)
 	if err != nil {
 		return "", err
@@ -90,26 +79,10 @@
 	if r.Trouble {
 		go store.loseAtTimes(lasts)
 	}
-	var found atomic.Bool
-	var trainers []*trainer
-	var group sync.WaitGroup
-	for i, m := range models {
-		t := &trainer{rig: r, edges: edges, scorers: scorers, model: m, number: i, found: &found}
-		trainers = append(trainers, t)
-		group.Go(func() {
-			// The trainers don't begin at the same moment.
-			time.Sleep(time.Duration(i) * every / time.Duration(len(models)))
-			t.run()
-		})
-	}
-	group.Wait()
+	t := &trainer{rig: r, edges: edges, scorer: scorer}
+	t.run()
 	r.Note("the store lost the answers of %d of %d writes", store.lost.Load(), store.writes.Load())
-	for _, t := range trainers {
-		if t.fault != "" {
-			return t.fault, nil
-		}
-	}
-	return "", nil
+	return t.fault, nil
 }
 
 // losingStore is the platform's store. At times it carries out a write and never
@@ -159,13 +132,9 @@
 
 // trainer hands in one step after the other.
 type trainer struct {
-	rig     *rig.Rig
-	edges   []*rig.Edge
-	scorers []*rig.Worker
-	model   string
-	number  int
-	// found is set once any trainer has read a wrong result.
-	found *atomic.Bool
+	rig    *rig.Rig
+	edges  []*rig.Edge
+	scorer *rig.Worker
 	// calls counts the calls, which go to the edges in turn.
 	calls int
 	// group is the number of the next group.
@@ -183,7 +152,7 @@
 // run hands steps in until its time is up or a result is wrong.
 func (t *trainer) run() {
 	var carried []int
-	for step, until := 0, time.Now().Add(lasts); time.Now().Before(until) && !t.found.Load(); step++ {
+	for step, until := 0, time.Now().Add(lasts); time.Now().Before(until) && t.fault == ""; step++ {
 		began := time.Now()
 		list := slices.Clone(carried)
 		for len(list) < groups {
@@ -193,8 +162,8 @@
 		carried = t.runStep(step, list)
 		time.Sleep(training)
 		if next := step + 1; next > 1 {
-			t.rig.Store.Set("versions", t.model, fmt.Sprintf(`{"model":%q,"version":%d}`, t.model, next))
-			t.rig.Note("version %d of %s named", next, t.model)
+			t.rig.Store.Set("versions", rig.Model, fmt.Sprintf(`{"model":%q,"version":%d}`, rig.Model, next))
+			t.rig.Note("version %d of %s named", next, rig.Model)
 		}
 		time.Sleep(time.Until(began.Add(every)))
 	}
@@ -205,10 +174,10 @@
 // time is up, and ends it. It returns the groups that were not complete, at most half
 // of those that a step waits for.
 func (t *trainer) runStep(step int, list []int) []int {
-	job := fmt.Sprintf("7c41e09b52%02d%04d", t.number, step)
+	job := fmt.Sprintf("7c41e09b52d6%04d", step)
 	began := time.Now()
 	if !t.submit(step, job, list) {
-		t.rig.Note("%s: step %d was not accepted", t.model, step)
+		t.rig.Note("step %d was not accepted", step)
 		return nil
 	}
 	var results []rig.Result
@@ -223,13 +192,13 @@
 				incomplete = append(incomplete, g)
 			}
 		}
-		t.rig.Note("%s: step %d: read %d, %d of %d results, %d groups incomplete", t.model, step, status, len(results), page.Total, len(incomplete))
+		t.rig.Note("step %d: read %d, %d of %d results, %d groups incomplete", step, status, len(results), page.Total, len(incomplete))
 	}
 	t.check(job, results)
 	t.ends.Go(func() {
 		for range 10 {
 			if status, _ := t.rig.Call(t.edges[step%len(t.edges)], http.MethodDelete, "/lots/"+job, "", nil, "", 4*time.Second); status == http.StatusOK {
-				t.rig.Note("%s: the end of step %d is acknowledged", t.model, step)
+				t.rig.Note("the end of step %d is acknowledged", step)
 				return
 			}
 			time.Sleep(300 * time.Millisecond)
@@ -243,24 +212,24 @@
 	var items []map[string]any
 	for _, g := range list {
 		for i := range groupSize {
-			id := t.itemID(g, i)
+			id := itemID(g, i)
 			items = append(items, map[string]any{
-				"id": id, "path": "/" + t.model + "/x", "headers": map[string]string{
-					"X-Model": t.model, "X-Token-Count": fmt.Sprintf("255,%d", events), "X-Prompt-Prefix": fmt.Sprintf("5d07b8%04d:255", g),
+				"id": id, "path": "/draft/x", "headers": map[string]string{
+					"X-Model": rig.Model, "X-Token-Count": fmt.Sprintf("255,%d", events), "X-Prompt-Prefix": fmt.Sprintf("5d07b8%04d:255", g),
 				},
 				"body": "q83vEjRWeJA=", "token_count": 255 + events, "group": fmt.Sprintf("g%d", g),
 				"scorer": map[string]string{"id": scorerID(id), "hostname": rig.Host, "path": "/sync/" + id, "body": "q83vEjRWeJA="},
 			})
 		}
 	}
-	body, err := json.Marshal(map[string]any{"step": step, "model": t.model, "min_version": max(step-1, 0), "desired_count": wanted, "items": items})
+	body, err := json.Marshal(map[string]any{"step": step, "model": rig.Model, "min_version": max(step-1, 0), "desired_count": wanted, "items": items})
 	if err != nil {
 		return false
 	}
 	for range 6 {
 		e := t.edge()
-		status, _ := t.rig.Call(e, http.MethodPost, "/"+t.model+"/0", job, nil, string(body), 3*time.Second)
-		t.rig.Note("%s: step %d, job %s, groups %v: %s answers %d", t.model, step, job, list, e.Name, status)
+		status, _ := t.rig.Call(e, http.MethodPost, "/draft/0", job, nil, string(body), 3*time.Second)
+		t.rig.Note("step %d, job %s, groups %v: %s answers %d", step, job, list, e.Name, status)
 		if status == http.StatusAccepted {
 			return true
 		}
@@ -270,9 +239,7 @@
 }
 
 // itemID names an item of a group.
-func (t *trainer) itemID(group, i int) string {
-	return fmt.Sprintf("e5b2907%d%04d%04d", t.number, group, i)
-}
+func itemID(group, i int) string { return fmt.Sprintf("e5b2907c%04d%04d", group, i) }
 
 // groupOf returns the group of an item.
 func groupOf(id string) int {
@@ -288,11 +255,9 @@
 func (t *trainer) check(job string, results []rig.Result) {
 	// good are the signatures of the answers by the request.
 	good := make(map[string][]string)
-	for _, w := range t.scorers {
-		for _, one := range w.Runs() {
-			if one.Finished {
-				good[one.ID] = append(good[one.ID], rig.Stamp(w.ID, one.ID))
-			}
+	for _, one := range t.scorer.Runs() {
+		if one.Finished {
+			good[one.ID] = append(good[one.ID], rig.Stamp(t.scorer.ID, one.ID))
 		}
 	}
 	var wrong []string
@@ -304,7 +269,6 @@
 		}
 	}
 	if len(wrong) > 0 {
-		t.found.Store(true)
 		t.fault = fmt.Sprintf("MIXED: job %s lists %d results as completed whose score is not the signature of an answer to their reward call: %s", job, len(wrong), strings.Join(wrong, ", "))
 	}
 }
