--- a/review/5/main.go
+++ b/review/5/main.go
@@ -1,61 +1,56 @@
-// Command 5 stops one of two machines as planned, with SIGTERM, while clients read
-// streams of a few seconds over connections that they keep, and looks which of the
-// requests that the machine passed on end without a complete answer.
+// Command 5 lets clients leave streams before their end, as `give_up` does, and
+// then, when all is calm again, hands in a step of a trainer that needs the same
+// workers.
 package main
 
 import (
-	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
-	"net"
+	"io"
 	"net/http"
 	"strings"
-	"sync"
-	"syscall"
 	"time"
 
 	"github.com/catkinhead/catkinhead/review/rig"
 )
 
 const (
-	slots   = 12
+	slots   = 4
 	workers = 2
-	clients = 8
-	// A stream takes about four seconds.
-	events     = 100
+	// A stream or an item takes a second.
+	events     = 25
 	eventEvery = 40 * time.Millisecond
-	// pause is the time between two streams of a client.
-	pause = 100 * time.Millisecond
-	// before is how long streams are read before the SIGTERM, deadline how long a
-	// client waits for the end of a stream.
-	before   = 6 * time.Second
-	deadline = 10 * time.Second
-	// grace is grace_s. A request that was sent later than excused after the SIGTERM
-	// has no excuse; with graceSlack, planned work ends.
-	grace      = 8 * time.Second
-	graceSlack = time.Second
-	excused    = 3 * time.Second
-	routes     = `[{"name":"r-chat","hostname":"desk.example","path_prefix":"/chat/","route_kind":"streaming","streaming":true,"timeout_ms":10000,"target_latency_ms":400,"priority":1,"service":"drafting-models","max_attempts":2,"public":false,"sticky":true,"resumable":false}]`
-	services   = `[{"name":"drafting-models","health_path":"/healthz","max_conns":170,"protocol":"h1","tls":false,"engine":{"slots":12,"kv_capacity":49588,"models":[{"name":"daka510000"}]}}]`
+	// streams is the number of streams, of which leavers are left by their clients
+	// after leaveAfter, half of the target latency of their route.
+	streams    = 24
+	leavers    = 7
+	leaveAfter = 200 * time.Millisecond
+	// calm is the time without any disruption before the step, longer than
+	// contact_ms and settle_ms together.
+	calm = 6 * time.Second
+	// items is the number of items of the step. The workers need four seconds for
+	// them. The trainer gives the step up after giveUpAfter, 4.5 s after the results
+	// are due.
+	items       = 32
+	groupSize   = 4
+	giveUpAfter = 12 * time.Second
+	// unserved is the time for which an item has to be at no worker.
+	unserved = 5 * time.Second
+	job      = "7c41e09b52d6a3f8"
+	routes   = `[
+{"name":"r-chat","hostname":"desk.example","path_prefix":"/chat/","route_kind":"streaming","streaming":true,"timeout_ms":10000,"target_latency_ms":400,"priority":1,"service":"fitter-lm","max_attempts":2,"public":false,"sticky":true,"resumable":false},
+{"name":"r-fit","hostname":"desk.example","path_prefix":"/fit/","route_kind":"rollout","timeout_ms":10000,"target_latency_ms":400,"priority":1,"service":"fitter-lm","max_attempts":3,"queue_ttl_s":40.0,"result_deadline_ms":7500,"single_version":false,"public":false,"sticky":true,"resumable":true}]`
+	services = `[{"name":"fitter-lm","health_path":"/healthz","max_conns":170,"protocol":"h1","tls":false,"engine":{"slots":4,"kv_capacity":49588,"models":[{"name":"daka510000"}]}}]`
 )
 
 func main() { rig.Main(run) }
 
-// request is a request of a client and how it ended.
-type request struct {
-	id          string
-	sent, ended time.Time
-	status      int
-	// whole is set if the answer is complete.
-	whole bool
-	err   error
-}
-
 func run(r *rig.Rig) (string, error) {
 	r.Configure(3, routes, services)
 	var fleet []*rig.Worker
 	for i := range workers {
-		w := &rig.Worker{ID: fmt.Sprintf("i-draft-%d", i), Service: "drafting-models", Slots: slots, Events: events, EventEvery: eventEvery}
+		w := &rig.Worker{ID: fmt.Sprintf("i-fit-%d", i), Service: "fitter-lm", Slots: slots, Events: events, EventEvery: eventEvery}
 		if err := r.AddWorker(w); err != nil {
 			return "", err
 		}
@@ -65,115 +60,119 @@
 	if err != nil {
 		return "", err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	var mu sync.Mutex
-	var requests []*request
-	var group sync.WaitGroup
-	for c := range clients {
-		group.Go(func() {
-			// The clients don't begin at the same moment.
-			time.Sleep(time.Duration(c) * 550 * time.Millisecond)
-			keepSending(ctx, r, edges[0], c, func(q *request) {
-				mu.Lock()
-				defer mu.Unlock()
-				requests = append(requests, q)
-			})
-		})
+	for n := range streams {
+		leave := r.Trouble && n*leavers/streams != (n+1)*leavers/streams
+		readStream(r, edges[n%len(edges)], fmt.Sprintf("c%04d", n), leave)
+	}
+	r.Note("all streams have ended")
+	time.Sleep(calm)
+	if n := fleet[0].Active() + fleet[1].Active(); n > 0 {
+		return "", fmt.Errorf("%d requests still run at the workers before the step", n)
 	}
-	time.Sleep(before)
-	stopped := time.Now()
-	if r.Trouble {
-		edges[0].Signal(syscall.SIGTERM)
+	submitted := time.Now()
+	if status, body := r.Call(edges[1], http.MethodPost, "/fit/0", job, nil, step(), 3*time.Second); status != http.StatusAccepted {
+		return "", fmt.Errorf("the step was answered with %d: %s", status, body)
 	}
-	time.Sleep(grace + graceSlack)
-	cancel()
-	group.Wait()
-	mu.Lock()
-	defer mu.Unlock()
-	return judge(r, fleet, requests, stopped), nil
+	r.Note("step %s of %d items accepted", job, items)
+	return readStep(r, edges, fleet, submitted), nil
 }
 
-// judge returns how the rule was broken, or an empty text.
-func judge(r *rig.Rig, fleet []*rig.Worker, requests []*request, stopped time.Time) string {
-	runs := make(map[string]rig.Run)
-	for _, w := range fleet {
-		for _, one := range w.Runs() {
-			runs[one.ID] = one
-		}
+// readStream reads a stream, whole or until the client leaves.
+func readStream(r *rig.Rig, e *rig.Edge, id string, leave bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.Front+"/chat/a", strings.NewReader("question"))
+	if err != nil {
+		r.Note("client: %v", err)
+		return
 	}
-	lost, late := 0, 0
-	for _, q := range requests {
-		one, ran := runs[q.id]
-		after := q.sent.Sub(stopped)
-		if q.whole || !ran || one.Finished || after < 0 || q.ended.Sub(stopped) > grace+graceSlack {
-			continue
-		}
-		r.Note("%s, sent %.2f s after the SIGTERM and passed on to %s, ends %.2f s after it without a complete answer: status %d, %v", q.id, after.Seconds(), one.Worker, q.ended.Sub(stopped).Seconds(), q.status, q.err)
-		lost++
-		if after > excused {
-			late++
-		}
+	req.Host = rig.Host
+	for k, v := range map[string]string{
+		"X-Api-Key": rig.Key, "X-Attempt-Id": id, "X-Deadline-Ms": "10000", "X-Model": "daka510000", "X-Token-Count": "100,25", "X-Prompt-Prefix": "9c2e41:100",
+	} {
+		req.Header.Set(k, v)
 	}
-	if late == 0 {
-		return ""
+	r.Note("client sends %s to %s, leaves: %t", id, e.Name, leave)
+	if leave {
+		time.AfterFunc(leaveAfter, cancel)
 	}
-	return fmt.Sprintf("LOST: %d requests that were sent later than %s after the SIGTERM and passed on to a worker ended without a complete answer (%d with those that were sent earlier)", late, excused, lost)
-}
-
-// keepSending sends streams one after the other on one connection until ctx ends,
-// the connection is closed or the answer says that it will be.
-func keepSending(ctx context.Context, r *rig.Rig, e *rig.Edge, c int, record func(*request)) {
-	conn, err := net.DialTimeout("tcp", e.Front, time.Second)
+	res, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
 	if err != nil {
-		r.Note("client %d: %v", c, err)
+		r.Note("client: %s ends: %v", id, err)
 		return
 	}
-	defer conn.Close()
-	in := bufio.NewReader(conn)
-	for n := 0; ctx.Err() == nil; n++ {
-		q := &request{id: fmt.Sprintf("c%d-%d", c, n), sent: time.Now()}
-		closes := q.exchange(conn, in)
-		if ctx.Err() != nil {
-			return
-		}
-		q.ended = time.Now()
-		r.Note("client %d: %s gets %d, complete: %t, %v", c, q.id, q.status, q.whole, q.err)
-		record(q)
-		if closes {
-			return
-		}
-		time.Sleep(pause)
-	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	r.Note("client: %s gets %d and %d bytes, end: %v", id, res.StatusCode, len(b), err)
 }
 
-// exchange sends the request and reads the answer. It reports whether the
-// connection can't be used again.
-func (q *request) exchange(conn net.Conn, in *bufio.Reader) (closes bool) {
-	if q.err = conn.SetDeadline(time.Now().Add(deadline)); q.err != nil {
-		return true
+// step returns the body of a trainer's batch job.
+func step() string {
+	var list []map[string]any
+	for i := range items {
+		list = append(list, map[string]any{
+			"id": itemID(i), "path": "/fit/x", "headers": map[string]string{"X-Model": "daka510000", "X-Token-Count": "255,25", "X-Prompt-Prefix": fmt.Sprintf("5d07b8%d:255", i/groupSize)},
+			"body": "q83vEjRWeJA=", "token_count": 280, "group": fmt.Sprintf("g%d", i/groupSize),
+		})
 	}
-	body := "question"
-	_, q.err = fmt.Fprintf(conn, "POST /chat/a HTTP/1.1\r\nHost: %s\r\nX-Api-Key: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\nX-Model: daka510000\r\nX-Token-Count: 100,%d\r\nX-Prompt-Prefix: 9c2e41:100\r\nContent-Length: %d\r\n\r\n%s",
-		rig.Host, rig.Key, q.id, deadline.Milliseconds(), events, len(body), body)
-	if q.err != nil {
-		return true
+	b, _ := json.Marshal(map[string]any{
+		"step": 0, "model": "daka510000", "min_version": 1, "desired_count": items / groupSize * 9 / 10, "items": list,
+	})
+	return string(b)
+}
+
+func itemID(i int) string { return fmt.Sprintf("e5b2907c14da%04d", i) }
+
+// readStep reads the results like a trainer, twice a second, until the groups that
+// it waits for are complete or its time is up. It returns how the rule was broken.
+func readStep(r *rig.Rig, edges []*rig.Edge, fleet []*rig.Worker, submitted time.Time) string {
+	most := 0
+	for n := 0; time.Since(submitted) < giveUpAfter; n++ {
+		most = max(most, fleet[0].Active()+fleet[1].Active())
+		page, status := r.Read(edges[n%len(edges)], job, 0)
+		groups := make(map[string]int)
+		for _, result := range page.Results {
+			groups[result.ID[:len(result.ID)-4]+fmt.Sprint(index(result.ID)/groupSize)]++
+		}
+		complete := 0
+		for _, size := range groups {
+			if size == groupSize {
+				complete++
+			}
+		}
+		r.Note("read: %d, %d of %d results, %d complete groups, %d requests run at workers", status, len(page.Results), page.Total, complete, fleet[0].Active()+fleet[1].Active())
+		if complete >= items/groupSize*9/10 {
+			return ""
+		}
+		time.Sleep(500 * time.Millisecond)
 	}
-	res, err := http.ReadResponse(in, nil)
-	if err != nil {
-		q.err = err
-		return true
+	begun := make(map[string]time.Time)
+	for _, w := range fleet {
+		for _, run := range w.Runs() {
+			begun[run.ID] = run.Began
+		}
 	}
-	defer res.Body.Close()
-	q.status = res.StatusCode
-	var text strings.Builder
-	lines := bufio.NewScanner(res.Body)
-	for lines.Scan() {
-		if lines.Text() != "" {
-			text.WriteString(lines.Text() + "\n")
+	some, waiting := 0, 0
+	for i := range items {
+		if _, ok := begun[itemID(i)]; ok {
+			some++
+		} else {
+			waiting++
 		}
 	}
-	q.err = lines.Err()
-	q.whole = q.err == nil && (q.status != http.StatusOK || strings.Contains(text.String(), rig.EventData(q.id, events-1)+"\n"))
-	return res.Close || q.err != nil
+	r.Note("at most %d of %d places of the workers were taken", most, slots*workers)
+	if some == 0 {
+		return fmt.Sprintf("LOST: the step ran out of time and none of its %d items was ever sent to a worker", items)
+	}
+	if waiting > 0 && most < slots*workers/2 && giveUpAfter > unserved {
+		return fmt.Sprintf("LOST: the step ran out of time after %s; %d of its items had begun, %d were at no worker all the while, at most %d of %d places were taken",
+			giveUpAfter, some, waiting, most, slots*workers)
+	}
+	return ""
+}
+
+func index(id string) int {
+	var i int
+	_, _ = fmt.Sscanf(id[len(id)-4:], "%d", &i)
+	return i
 }
