lease: logs by which way a lease was gained and which calls have no answer

- lease gained: the way (Released, HolderRestarted, Lapsed, OwnRecord, NeverHeld), the wait since the record was first seen, the revision.
- lease is being released, released, lapsed, lost, given up: calls in flight and calls that ended without an answer.
- version ordered, targets ordered, window reported: one shape, with the time taken, whether the receiver answered and whether the lease was still held.

Decisions are as before.

--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/catkinhead/catkinhead/internal/op"
+	"github.com/catkinhead/catkinhead/pkg/clock"
 	"github.com/catkinhead/catkinhead/pkg/platform"
 	"github.com/catkinhead/catkinhead/pkg/unit"
 )
@@ -68,16 +69,10 @@
 	o := e.Order
 	sent := p.clock.Now()
 	err := p.deps.Orders.SendVersion(ctx, o)
-	event := op.VersionOrdered{Target: o.Target, Model: o.Model, Version: o.Version, Result: callResult(err)}
-	fields := logrus.Fields{
-		"Target": o.Target, "Model": o.Model, "Version": o.Version, "Fence": o.Fence, "Result": event.Result,
-		"TookMillis": p.clock.Now() - sent, "LeaseLeftMillis": o.SendBefore - sent,
-	}
-	if err != nil {
-		fields["Error"] = err.Error()
-	}
-	p.log.WithFields(fields).Info("version ordered")
-	p.apply(event)
+	p.logLeaseCall("version ordered", leaseCall{o.Fence, sent, o.SendBefore, err}, logrus.Fields{
+		"Target": o.Target, "Model": o.Model, "Version": o.Version,
+	})
+	p.apply(op.VersionOrdered{Target: o.Target, Model: o.Model, Version: o.Version, Result: callResult(err)})
 }
 
 // orderTargets orders a number of targets for a pool in a data centre.
@@ -85,16 +80,35 @@
 	o := e.Order
 	sent := p.clock.Now()
 	err := p.deps.Sizes.SendSize(ctx, o)
-	event := op.TargetsOrdered{Pool: o.Pool, DataCentre: o.DataCentre, Result: callResult(err)}
-	fields := logrus.Fields{
-		"Pool": o.Pool, "DataCentre": o.DataCentre, "Count": o.Count, "Fence": o.Fence, "Result": event.Result,
-		"TookMillis": p.clock.Now() - sent, "LeaseLeftMillis": o.SendBefore - sent,
-	}
-	if err != nil {
-		fields["Error"] = err.Error()
+	p.logLeaseCall("targets ordered", leaseCall{o.Fence, sent, o.SendBefore, err}, logrus.Fields{
+		"Pool": o.Pool, "DataCentre": o.DataCentre, "Count": o.Count,
+	})
+	p.apply(op.TargetsOrdered{Pool: o.Pool, DataCentre: o.DataCentre, Result: callResult(err)})
+}
+
+// leaseCall is a call under the duties lease that has ended.
+type leaseCall struct {
+	fence unit.Fence
+	// sent is when the call began. It was not written from sendBefore on.
+	sent, sendBefore clock.Millis
+	err              error
+}
+
+// logLeaseCall logs the end of a call under the lease and counts it. Answered
+// tells whether the receiver has certainly taken notice of the call, or will
+// never get it; Held whether this instance still held the lease then.
+func (p *Process) logLeaseCall(msg string, c leaseCall, fields logrus.Fields) {
+	result := callResult(c.err)
+	var held bool
+	p.withState(func(now clock.Millis, s *State) { _, _, held = s.Leases.Held(dutiesScope, now) })
+	fields["Fence"], fields["Result"] = c.fence, result
+	fields["TookMillis"], fields["LeaseLeftMillis"] = p.clock.Now()-c.sent, c.sendBefore-c.sent
+	fields["Answered"], fields["Held"] = result != op.Lost, held
+	if c.err != nil {
+		fields["Error"] = c.err.Error()
 	}
-	p.log.WithFields(fields).Info("targets ordered")
-	p.apply(event)
+	p.log.WithFields(fields).Info(msg)
+	p.observeDuration("catkinhead_lease_call_seconds", "result", string(result), c.sent)
 }
 
 // windowRecord is the sealed usage counts of a window as they are stored.
@@ -129,19 +143,15 @@
 // sendCounts reports the usage counts of a sealed window to the platform's usage
 // endpoint.
 func (p *Process) sendCounts(ctx context.Context, e op.SendCounts) {
-	err := p.deps.Counts.SendCounts(ctx, e.Report)
-	result := callResult(err)
+	r := e.Report
+	sent := p.clock.Now()
+	err := p.deps.Counts.SendCounts(ctx, r)
 	total := int64(0)
-	for _, n := range e.Report.Counts {
+	for _, n := range r.Counts {
 		total += n
 	}
-	fields := logrus.Fields{
-		"Window": e.Report.Window, "Requests": total, "Fence": e.Report.Fence, "Result": result,
-		"WallMillis": int64(p.clock.Wall()),
-	}
-	if err != nil {
-		fields["Error"] = err.Error()
-	}
-	p.log.WithFields(fields).Info("window reported")
-	p.apply(op.CountsSent{Window: e.Report.Window, Result: result})
+	p.logLeaseCall("window reported", leaseCall{r.Fence, sent, r.SendBefore, err}, logrus.Fields{
+		"Window": r.Window, "Requests": total, "WallMillis": int64(p.clock.Wall()),
+	})
+	p.apply(op.CountsSent{Window: r.Window, Result: callResult(err)})
 }
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -281,6 +281,24 @@
 		p.withState(func(_ clock.Millis, s *State) { n = len(s.Roster.Targets) })
 		return float64(n)
 	})
+	set.NewGauge("catkinhead_duties_held", func() float64 {
+		held := 0.0
+		p.withState(func(now clock.Millis, s *State) {
+			if _, _, ok := s.Leases.Held(dutiesScope, now); ok {
+				held = 1
+			}
+		})
+		return held
+	})
+	set.NewGauge("catkinhead_lease_calls_in_flight", func() float64 {
+		n := 0
+		p.withState(func(_ clock.Millis, s *State) {
+			if l := s.Leases.Leases[dutiesScope]; l != nil {
+				n = l.Calls.InFlight
+			}
+		})
+		return float64(n)
+	})
 	return set
 }
 
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -115,13 +115,21 @@
 // Reduce applies an event and returns the effects that it leads to.
 func (s *State) Reduce(now clock.Millis, ev op.Event) op.List {
 	var out op.List
+	s.endLeaseCall(now, ev)
+	s.reduce(now, ev, &out)
+	s.startLeaseCalls(out)
+	return out
+}
+
+// reduce applies an event and adds the effects that it leads to.
+func (s *State) reduce(now clock.Millis, ev op.Event, out *op.List) {
 	switch e := ev.(type) {
 	case op.Tick:
-		s.tick(now, e, &out)
+		s.tick(now, e, out)
 	case op.RequestReceived, op.AttemptEnded, op.CallerDisconnected:
-		s.Forward.Reduce(now, ev, s.forwardView(now), &out)
+		s.Forward.Reduce(now, ev, s.forwardView(now), out)
 	case op.ConfigurationChanged:
-		s.configurationChanged(now, e, &out)
+		s.configurationChanged(now, e, out)
 	case op.StoreAnswered:
 		s.storeAnswered(now, e)
 	case op.StoreUnreachable:
@@ -130,40 +138,40 @@
 		}
 	case op.TargetsListed:
 		s.Roster.ReplaceAll(now, e.Entries)
-		s.advance(now, &out)
+		s.advance(now, out)
 	case op.TargetChanged:
 		if e.Removed {
 			s.Roster.Remove(now, e.Entry.Target)
 		} else {
 			s.Roster.Upsert(now, e.Entry)
 		}
-		s.advance(now, &out)
+		s.advance(now, out)
 	case op.VersionReported:
 		s.Roster.RecordVersion(e.Target, e.Model, e.Version)
-		s.Batch.Reduce(now, e, s.batchView(), &out)
+		s.Batch.Reduce(now, e, s.batchView(), out)
 	case op.VersionWanted, op.VersionOrdered:
-		s.ModelVersions.Reduce(now, ev, s.dutyView(now), &out)
+		s.ModelVersions.Reduce(now, ev, s.dutyView(now), out)
 	case op.TargetsOrdered:
-		s.Scaling.Reduce(now, ev, s.dutyView(now), &out)
+		s.Scaling.Reduce(now, ev, s.dutyView(now), out)
 	case op.JobOwnershipGained:
-		s.Batch.Reduce(now, ev, s.batchView(), &out)
+		s.Batch.Reduce(now, ev, s.batchView(), out)
 		s.recordOwnedJobs(now)
-		s.sendHeartbeats(now, &out)
+		s.sendHeartbeats(now, out)
 	case op.JobOwnershipLost, op.JobStored, op.JobNotStored, op.JobOutputUnsaved, op.ItemRunEnded, op.RewardCallEnded, op.ChunkAppended, op.EndRequested:
 		owned := len(s.Batch.Jobs)
-		s.Batch.Reduce(now, ev, s.batchView(), &out)
+		s.Batch.Reduce(now, ev, s.batchView(), out)
 		if len(s.Batch.Jobs) < owned {
 			s.recordOwnedJobs(now)
 			// Tell the peers at once, so that one of them can take over a job that
 			// was given up.
-			s.sendHeartbeats(now, &out)
+			s.sendHeartbeats(now, out)
 		}
 	case op.LeaseRead, op.LeaseWritten:
-		s.Leases.Reduce(now, ev, &out)
+		s.Leases.Reduce(now, ev, out)
 	case op.CountsReceived, op.CountsSealed, op.CountsSent:
-		s.Metering.Reduce(now, ev, s.meteringView(now), &out)
+		s.Metering.Reduce(now, ev, s.meteringView(now), out)
 	case op.HeartbeatReceived:
-		s.heartbeatReceived(now, e.Heartbeat, &out)
+		s.heartbeatReceived(now, e.Heartbeat, out)
 	case op.PeersListed:
 		if s.Heartbeats.AddPeers(e.Peers) {
 			s.nextHeartbeatAt = now
@@ -174,7 +182,7 @@
 				"Target": string(id), "EventMillis": strconv.FormatFloat(e.Millis[id], 'f', 1, 64),
 			}})
 		}
-		s.Batch.Advance(now, s.batchView(), &out)
+		s.Batch.Advance(now, s.batchView(), out)
 	case op.JobClosed:
 		s.Heartbeats.MarkClosed(e.Job)
 	case op.StoredJobFound:
@@ -182,9 +190,8 @@
 	case op.JobsListed:
 		s.Heartbeats.HandleJobsListed(e)
 	case op.Drain:
-		s.drain(now, &out)
+		s.drain(now, out)
 	}
-	return out
 }
 
 // storedJobFound adds a stored job to the list of the fleet's jobs. If a peer runs
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -129,6 +129,12 @@
 	// lease. NextAt is the earliest time of the next one.
 	Busy   bool
 	NextAt clock.Millis
+	// Calls are the calls to receivers that are sent under the lease.
+	Calls Calls
+	// way is why the attempt to acquire the lease that is in flight was allowed,
+	// and waited the time since the record was first seen.
+	way    way
+	waited clock.Millis
 }
 
 // SetWanted sets whether this instance tries to acquire and keep a lease. Once
@@ -183,7 +189,7 @@
 func (s *State) tick(now clock.Millis, scope unit.Scope, l *Lease, out *op.List) {
 	if l.Held && now >= l.Until {
 		l.Held = false
-		logLease(out, "lease lapsed", scope, l.Record)
+		logCalls(out, "lease lapsed", scope, l)
 	}
 	if l.Busy || l.Wanted && now < l.NextAt {
 		return
@@ -206,6 +212,7 @@
 // before the write is sent.
 func (s *State) release(scope unit.Scope, l *Lease, out *op.List) {
 	l.Held = false
+	logCalls(out, "lease is being released", scope, l)
 	s.startWrite(scope, l, op.LeaseRecord{Fence: l.Record.Fence, Beat: l.Record.Beat + 1}, out)
 }
 
@@ -230,26 +237,37 @@
 			l.SeenAt = l.ToldAt
 		}
 	}
-	if !l.Wanted || l.Held || !s.canAcquire(now, l) {
+	if !l.Wanted || l.Held {
 		return
 	}
+	way := s.wayToAcquire(now, l)
+	if way == none {
+		return
+	}
+	l.way, l.waited = way, now-l.SeenAt
 	next := op.LeaseRecord{Holder: s.Self, Fence: l.Record.Fence + 1, Beat: l.Record.Beat + 1}
 	s.startWrite(e.Scope, l, next, out)
 }
 
-// canAcquire reports whether no other instance can still hold the lease. If the
-// record names this instance but the lease is not held, either the response to
-// the write was lost or the term has expired; no other instance has written the
-// record since.
-func (s *State) canAcquire(now clock.Millis, l *Lease) bool {
-	if l.Record.Holder == "" || l.Record.Holder == s.Self {
-		return true
-	}
-	if s.holderRestarted(l) {
-		return true
-	}
+// wayToAcquire returns why no other instance can still hold the lease, or none.
+// If the record names this instance but the lease is not held, either the
+// response to the write was lost or the term has expired; no other instance has
+// written the record since.
+func (s *State) wayToAcquire(now clock.Millis, l *Lease) way {
 	t := s.Times.orDefault()
-	return now-l.SeenAt >= t.Duration+t.Grace
+	switch {
+	case l.Record.Fence == 0:
+		return neverHeld
+	case l.Record.Holder == "":
+		return released
+	case l.Record.Holder == s.Self:
+		return ownRecord
+	case s.holderRestarted(l):
+		return restarted
+	case now-l.SeenAt >= t.Duration+t.Grace:
+		return lapsed
+	}
+	return none
 }
 
 // holderRestarted reports whether the incarnation named in the record has
@@ -280,17 +298,20 @@
 		l.Until = e.SentAt + s.Times.orDefault().Duration
 		l.Held = e.Record.Holder == s.Self && now < l.Until
 		l.NextAt = now + s.Times.orDefault().RenewEvery
-		if gained && l.Held {
-			logLease(out, "lease gained", e.Scope, e.Record)
+		switch {
+		case gained && l.Held:
+			s.logGained(e.Scope, l, out)
+		case e.Record.Holder == "":
+			logCalls(out, "lease released", e.Scope, l)
 		}
 	case op.Conflict:
 		if l.Held {
-			logLease(out, "lease lost", e.Scope, l.Record)
+			logCalls(out, "lease lost", e.Scope, l)
 		}
 		l.Held, l.Known = false, false
 		l.NextAt = now + retryDelay
 	default:
-		s.handleUnknownWrite(now, l)
+		s.handleUnknownWrite(now, e.Scope, l, out)
 	}
 }
 
@@ -301,16 +322,10 @@
 // more than a quarter of Duration is left, the lease is given up instead, so
 // that the object is read before the next write. An attempt to acquire the
 // lease is followed by a read, and a release is not repeated.
-func (s *State) handleUnknownWrite(now clock.Millis, l *Lease) {
+func (s *State) handleUnknownWrite(now clock.Millis, scope unit.Scope, l *Lease, out *op.List) {
 	l.NextAt = now + retryDelay
 	if l.Held && now+s.Times.orDefault().Duration/4 >= l.Until {
 		l.Held = false
+		logCalls(out, "lease given up: its renewal is not confirmed", scope, l)
 	}
 }
-
-// logLease logs a change of lease ownership.
-func logLease(out *op.List, msg string, scope unit.Scope, r op.LeaseRecord) {
-	out.Add(op.Note{Level: "info", Message: msg, Fields: map[string]string{
-		"Scope": string(scope), "Holder": string(r.Holder), "Term": formatFence(r.Fence),
-	}})
-}
