lease: it changes hands only when no call under it can arrive any more

A version could be set back.

Cause: the lease guarded the sending of calls, not their arrival. A release was written in the tick of the planned stop, whatever was on its way, and a released lease was acquired at once; so was that of a holder that had been killed and had restarted. Only the end by time had a margin, of 700 ms, less than the 1.5 s that a call may take.

Change, in package lease and for all calls under it: - The holder counts its calls (StartCall, EndCall). To give the lease up it stops acting, and writes the release, now marked as settled, once each call was answered or Grace has passed since the last one that was not. - After a restart or the end of the term, the successor waits for Grace, at least 2 s and the operator's lease_ms (MinOrderGap, which nothing used). - An instance that held the lease before waits for Grace after its own term. - A holder that finds its own record again keeps its fencing token: with a higher one its own earlier calls could have followed. - An instance that stops waits for the release before it exits.

Why it works: a new token is used only after every call under an older one was answered, or after the longest time that such a call may take.

TestRestartedInstanceReacquiresAtOnce demanded the fault; its replacement wants the wait for Grace, as exactly. So does the case of a restarted holder.

--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -245,10 +245,12 @@
 }
 
 // Idle reports whether a graceful shutdown has no more requests and jobs to
-// wait for.
+// wait for, and the lease is released.
 func (p *Process) Idle() bool {
 	idle := false
-	p.withState(func(_ clock.Millis, s *State) { idle = s.Forward.Idle() && s.Batch.Idle() })
+	p.withState(func(now clock.Millis, s *State) {
+		idle = s.Forward.Idle() && s.Batch.Idle() && !s.Leases.AnyHeld(now)
+	})
 	return idle && p.activeRequests.Load() == 0
 }
 
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -39,12 +39,20 @@
 	// counts, which are long. It is well within the time between the end of a usage
 	// window and its sealing.
 	countsInterval clock.Millis = 500
+	// minLeaseGrace is the shortest time for which calls of a former holder of the
+	// lease are waited for. It exceeds the time after which a call without an
+	// answer ends.
+	minLeaseGrace = 2 * clock.Second
 )
 
-// leaseTimes lets another instance take the lease over within a few seconds,
-// since trainers wait for versions, and lets the holder keep it during a slow
-// call to the store.
-var leaseTimes = lease.Times{Duration: 3 * clock.Second, Grace: 700, RenewEvery: 900, PollEvery: 250}
+// leaseTimes returns the times of the duties lease. Another instance takes it over
+// within a few seconds, since trainers wait for versions, and the holder keeps it
+// during a slow call to the store.
+func leaseTimes(b platform.Bounds) lease.Times {
+	return lease.Times{
+		Duration: 3 * clock.Second, Grace: max(minLeaseGrace, clock.FromDuration(b.MinOrderGap)), RenewEvery: 900, PollEvery: 250,
+	}
+}
 
 // State is everything that the decisions of one instance depend on. Its methods
 // perform no I/O.
@@ -106,7 +114,7 @@
 		Environment: environment, Self: self, startedAt: now,
 		Roster:     roster.State{LocalDataCentre: environment.DataCentre},
 		Metering:   metering.State{Self: self, Length: clock.FromDuration(environment.Bounds.Window)},
-		Leases:     lease.State{Self: self, Times: leaseTimes},
+		Leases:     lease.State{Self: self, Times: leaseTimes(environment.Bounds)},
 		Batch:      batch.State{Self: environment.Instance},
 		Heartbeats: heartbeat.State{Self: environment.Instance},
 	}
--- /dev/null
+++ b/internal/lease/acquire.go
@@ -0,0 +1,81 @@
+package lease
+
+import (
+	"github.com/catkinhead/catkinhead/pkg/clock"
+)
+
+// way is why an instance may acquire a lease.
+type way string
+
+// The ways to a lease.
+const (
+	// none means that another instance may still hold the lease.
+	none way = ""
+	// neverHeld leases have no record, or one that names no holder yet.
+	neverHeld way = "NeverHeld"
+	// ownRecord means that the record names this process.
+	ownRecord way = "OwnRecord"
+	// released means that the last holder has given the lease back.
+	released way = "Released"
+	// restarted means that another process of the holder's instance has started.
+	restarted way = "HolderRestarted"
+	// lapsed means that the holder's term has ended.
+	lapsed way = "Lapsed"
+)
+
+// wayToAcquire returns why this instance may act under the lease at once if it
+// acquires it, or none if the calls of an earlier holder may still arrive at
+// their receivers. An instance that held the lease before waits for Grace after
+// that term too, so that it does not act in turn with a holder in between.
+//
+// If the record names this process but the lease is not held, either the
+// response to the write was lost or the term has expired; no other instance has
+// held the lease since.
+func (s *State) wayToAcquire(now clock.Millis, l *Lease) way {
+	grace := s.Times.orDefault().Grace
+	switch {
+	case l.Record.Fence == 0:
+		return neverHeld
+	case l.Record.Holder == s.Self:
+		return ownRecord
+	case !l.Calls.settled(now) || now < l.EndedAt+grace:
+		return none
+	}
+	way, endedAt := s.endOfTerm(l)
+	if way == released && l.Record.Settled || now >= endedAt+grace {
+		return way
+	}
+	return none
+}
+
+// endOfTerm returns how the term in the record has ended or will end, and when
+// at the latest.
+func (s *State) endOfTerm(l *Lease) (way, clock.Millis) {
+	if l.Record.Holder == "" {
+		return released, l.SeenAt
+	}
+	if at, ok := s.holderRestartedAt(l); ok {
+		return restarted, at
+	}
+	return lapsed, l.SeenAt + s.Times.orDefault().Duration
+}
+
+// holderRestartedAt returns a time by which the incarnation named in the record
+// had ended. That is proven by a later heartbeat from another incarnation of its
+// instance, or because this process is itself another incarnation of that
+// instance. There is no proof if heartbeats are not observed, as in package
+// decide.
+func (s *State) holderRestartedAt(l *Lease) (clock.Millis, bool) {
+	holder := instanceOf(l.Record.Holder)
+	if s.lastSeen == nil || holder == "" {
+		return 0, false
+	}
+	if holder == instanceOf(s.Self) {
+		return 0, true
+	}
+	h := s.lastSeen[holder]
+	if h.incarnation == "" || h.incarnation == l.Record.Holder || h.at < l.SeenAt+restartMargin {
+		return 0, false
+	}
+	return max(h.since, l.SeenAt), true
+}
--- a/internal/lease/calls.go
+++ b/internal/lease/calls.go
@@ -13,12 +13,15 @@
 	// InFlight is the number of calls that have not ended.
 	InFlight int
 	// Unanswered is the number of calls under the present fencing token that ended
-	// without an answer although they may have been written. The last one ended at
-	// UnansweredAt.
-	Unanswered   int
-	UnansweredAt clock.Millis
+	// without an answer although they may have been written. None of them is
+	// expected to arrive from SettledAt on.
+	Unanswered int
+	SettledAt  clock.Millis
 }
 
+// settled reports whether none of the calls can arrive any more.
+func (c Calls) settled(now clock.Millis) bool { return c.InFlight == 0 && now >= c.SettledAt }
+
 // StartCall records that a call under the lease of a scope is about to be sent.
 func (s *State) StartCall(scope unit.Scope) { s.lease(scope).Calls.InFlight++ }
 
@@ -29,6 +32,6 @@
 	c.InFlight = max(c.InFlight-1, 0)
 	if result == op.Lost {
 		c.Unanswered++
-		c.UnansweredAt = now
+		c.SettledAt = now + s.Times.orDefault().Grace
 	}
 }
--- a/internal/lease/doc.go
+++ b/internal/lease/doc.go
@@ -8,17 +8,24 @@
 //
 // Instances never compare wall clocks. The holder's term starts just before it
 // sends the write that grants or renews the lease. Any other instance measures
-// from the moment it first saw that write, and takes over only after Duration
-// plus Grace, a margin for orders that are still in flight. The terms of two
-// holders therefore cannot overlap, however long a store call takes, provided
-// that all clocks run at about the same rate. Another instance need not wait if
-// the holder has released the lease, or if a heartbeat proves that the holder
+// from the moment it first saw that write, and the term is over after Duration.
+// The terms of two holders therefore cannot overlap, however long a store call
+// takes, provided that all clocks run at about the same rate. A term is also over
+// if the holder has released the lease, or if a heartbeat proves that the holder
 // has restarted.
 //
+// A call that is sent within a term may arrive after it. So the end of a term is
+// not enough: nobody acts under a new fencing token while a call under an older
+// one may still arrive. The holder tells the package when a call starts and ends,
+// and releases the lease only once each of its calls was answered, or Grace has
+// passed since the end of the last one without an answer. After any other end of
+// a term its successor waits for Grace. An instance that held the lease before
+// waits for Grace after its own term too, so that holders do not act in turn.
+//
 // If the response to a write is lost, the outcome is unknown until the object
 // has been read again or another write on the same revision has succeeded.
 //
-// The package cannot recall an order that the holder sent before its lease
-// ended and that the receiver processes much later. The fencing token and
-// Grace protect against that.
+// A call that arrives later than Grace after the term of its sender is beyond the
+// package. The receiver has to refuse it, by the fencing token or by a condition
+// in the call.
 package lease
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -14,10 +14,10 @@
 	// Duration is the term of a lease, counted from just before the write that
 	// grants or renews it is sent.
 	Duration clock.Millis = 5 * clock.Second
-	// Grace is how long another instance waits after Duration before it takes
-	// over. It covers the longest time an order may be in flight, and clock
-	// drift.
-	Grace clock.Millis = 1500
+	// Grace is how long after the end of a term a call that was sent under the
+	// lease and has no answer may still arrive at its receiver. Nobody acts under
+	// a new fencing token before that. It also covers clock drift.
+	Grace clock.Millis = 3 * clock.Second
 	// MaxOrderTime is the longest time that sending an order may take.
 	MaxOrderTime clock.Millis = clock.Second
 	// renewInterval is the time between renewals of a lease held by this
@@ -62,20 +62,26 @@
 	lastSeen map[unit.Instance]seenIncarnation
 }
 
-// seenIncarnation is an incarnation and the time of its latest heartbeat.
+// seenIncarnation is an incarnation and the times of its first and its latest
+// heartbeat.
 type seenIncarnation struct {
 	incarnation unit.Incarnation
-	at          clock.Millis
+	since, at   clock.Millis
 }
 
 // ObserveHeartbeat records a heartbeat from an incarnation. If a different
-// incarnation of the same instance holds a lease, the lease can be taken over
-// at once, because two incarnations of an instance never run at the same time.
+// incarnation of the same instance holds a lease, its term is over, because two
+// incarnations of an instance never run at the same time.
 func (s *State) ObserveHeartbeat(now clock.Millis, i unit.Incarnation) {
 	if s.lastSeen == nil {
 		s.lastSeen = make(map[unit.Instance]seenIncarnation)
 	}
-	s.lastSeen[instanceOf(i)] = seenIncarnation{i, now}
+	seen := s.lastSeen[instanceOf(i)]
+	if seen.incarnation != i {
+		seen = seenIncarnation{incarnation: i, since: now}
+	}
+	seen.at = now
+	s.lastSeen[instanceOf(i)] = seen
 }
 
 // ObserveRenewal records the lease revision that the holder announced in a
@@ -111,8 +117,14 @@
 	// Wanted is set while this instance tries to acquire or keep the lease.
 	Wanted bool
 	// Held is set while this instance holds the lease; the term ends at Until.
-	Held  bool
-	Until clock.Millis
+	// EndedAt is when its last term ended; before the first one, that is the start
+	// of the process, time 0.
+	Held    bool
+	Until   clock.Millis
+	EndedAt clock.Millis
+	// Releasing is set from when this instance stops acting under the lease until
+	// the release was written: it waits for the answers to its calls.
+	Releasing bool
 	// Record and Revision are the stored object as last seen. SeenAt is when
 	// this instance first saw that revision.
 	Record   op.LeaseRecord
@@ -156,10 +168,11 @@
 	return l.Record.Fence, l.Until, true
 }
 
-// AnyHeld reports whether this instance holds any lease at the given time.
+// AnyHeld reports whether this instance holds any lease at the given time, or has
+// yet to release one.
 func (s *State) AnyHeld(now clock.Millis) bool {
-	for scope := range s.Leases {
-		if _, _, ok := s.Held(scope, now); ok {
+	for scope, l := range s.Leases {
+		if _, _, ok := s.Held(scope, now); ok || l.Releasing {
 			return true
 		}
 	}
@@ -188,32 +201,39 @@
 // renewal, a release, or a read to find out whether it can be acquired.
 func (s *State) tick(now clock.Millis, scope unit.Scope, l *Lease, out *op.List) {
 	if l.Held && now >= l.Until {
-		l.Held = false
+		l.end(now)
 		logCalls(out, "lease lapsed", scope, l)
 	}
-	if l.Busy || l.Wanted && now < l.NextAt {
-		return
+	if l.Held && !l.Wanted {
+		l.end(now)
+		l.Releasing = true
+		logCalls(out, "lease is being released", scope, l)
 	}
 	switch {
-	case l.Held && l.Wanted:
+	case l.Busy:
+	case l.Releasing:
+		s.release(now, scope, l, out)
+	case !l.Wanted || now < l.NextAt:
+	case l.Held:
 		next := l.Record
 		next.Beat++
 		s.startWrite(scope, l, next, out)
-	case l.Held:
-		s.release(scope, l, out)
-	case l.Wanted:
+	default:
 		l.Busy = true
 		out.Add(op.ReadLease{Scope: scope})
 	}
 }
 
-// release clears the holder in the stored record, so that another instance can
-// acquire the lease without waiting. This instance stops acting as the holder
-// before the write is sent.
-func (s *State) release(scope unit.Scope, l *Lease, out *op.List) {
-	l.Held = false
-	logCalls(out, "lease is being released", scope, l)
-	s.startWrite(scope, l, op.LeaseRecord{Fence: l.Record.Fence, Beat: l.Record.Beat + 1}, out)
+// end ends the term of this instance.
+func (l *Lease) end(now clock.Millis) { l.Held, l.EndedAt = false, now }
+
+// release clears the holder in the stored record once none of this instance's
+// calls can arrive any more, so that another instance can acquire the lease
+// without waiting.
+func (s *State) release(now clock.Millis, scope unit.Scope, l *Lease, out *op.List) {
+	if l.Calls.settled(now) {
+		s.startWrite(scope, l, op.LeaseRecord{Fence: l.Record.Fence, Beat: l.Record.Beat + 1, Settled: true}, out)
+	}
 }
 
 // startWrite starts a write of the record, conditional on the last seen
@@ -237,7 +257,7 @@
 			l.SeenAt = l.ToldAt
 		}
 	}
-	if !l.Wanted || l.Held {
+	if !l.Wanted || l.Held || l.Releasing {
 		return
 	}
 	way := s.wayToAcquire(now, l)
@@ -246,45 +266,11 @@
 	}
 	l.way, l.waited = way, now-l.SeenAt
 	next := op.LeaseRecord{Holder: s.Self, Fence: l.Record.Fence + 1, Beat: l.Record.Beat + 1}
-	s.startWrite(e.Scope, l, next, out)
-}
-
-// wayToAcquire returns why no other instance can still hold the lease, or none.
-// If the record names this instance but the lease is not held, either the
-// response to the write was lost or the term has expired; no other instance has
-// written the record since.
-func (s *State) wayToAcquire(now clock.Millis, l *Lease) way {
-	t := s.Times.orDefault()
-	switch {
-	case l.Record.Fence == 0:
-		return neverHeld
-	case l.Record.Holder == "":
-		return released
-	case l.Record.Holder == s.Self:
-		return ownRecord
-	case s.holderRestarted(l):
-		return restarted
-	case now-l.SeenAt >= t.Duration+t.Grace:
-		return lapsed
-	}
-	return none
-}
-
-// holderRestarted reports whether the incarnation named in the record has
-// ended. That is proven by a later heartbeat from another incarnation of its
-// instance, or because this process is itself another incarnation of that
-// instance. The result is always false if heartbeats are not observed, as in
-// package decide.
-func (s *State) holderRestarted(l *Lease) bool {
-	holder := instanceOf(l.Record.Holder)
-	if s.lastSeen == nil || holder == "" {
-		return false
-	}
-	if holder == instanceOf(s.Self) {
-		return true
+	if way == ownRecord {
+		// Nobody else held the lease since, so this is a late renewal.
+		next.Fence = l.Record.Fence
 	}
-	h := s.lastSeen[holder]
-	return h.incarnation != "" && h.incarnation != l.Record.Holder && h.at >= l.SeenAt+restartMargin
+	s.startWrite(e.Scope, l, next, out)
 }
 
 // handleWritten applies the result of a conditional write: a new term, a lost
@@ -296,22 +282,24 @@
 		gained := !l.Held && e.Record.Holder == s.Self
 		l.Known, l.Record, l.Revision, l.SeenAt = true, e.Record, e.Revision, now
 		l.Until = e.SentAt + s.Times.orDefault().Duration
-		l.Held = e.Record.Holder == s.Self && now < l.Until
+		l.Held = e.Record.Holder == s.Self && now < l.Until && !l.Releasing
 		l.NextAt = now + s.Times.orDefault().RenewEvery
 		switch {
 		case gained && l.Held:
 			s.logGained(e.Scope, l, out)
 		case e.Record.Holder == "":
+			l.Releasing = false
 			logCalls(out, "lease released", e.Scope, l)
 		}
 	case op.Conflict:
 		if l.Held {
+			l.end(now)
 			logCalls(out, "lease lost", e.Scope, l)
 		}
-		l.Held, l.Known = false, false
+		l.Known, l.Releasing = false, false
 		l.NextAt = now + retryDelay
 	default:
-		s.handleUnknownWrite(now, e.Scope, l, out)
+		s.handleUnknownWrite(now, e, l, out)
 	}
 }
 
@@ -322,10 +310,13 @@
 // more than a quarter of Duration is left, the lease is given up instead, so
 // that the object is read before the next write. An attempt to acquire the
 // lease is followed by a read, and a release is not repeated.
-func (s *State) handleUnknownWrite(now clock.Millis, scope unit.Scope, l *Lease, out *op.List) {
+func (s *State) handleUnknownWrite(now clock.Millis, e op.LeaseWritten, l *Lease, out *op.List) {
 	l.NextAt = now + retryDelay
+	if e.Record.Holder == "" {
+		l.Releasing = false
+	}
 	if l.Held && now+s.Times.orDefault().Duration/4 >= l.Until {
-		l.Held = false
-		logCalls(out, "lease given up: its renewal is not confirmed", scope, l)
+		l.end(now)
+		logCalls(out, "lease given up: its renewal is not confirmed", e.Scope, l)
 	}
 }
--- a/internal/lease/log.go
+++ b/internal/lease/log.go
@@ -9,25 +9,6 @@
 	"github.com/catkinhead/catkinhead/pkg/unit"
 )
 
-// way is why an instance may acquire a lease.
-type way string
-
-// The ways to a lease.
-const (
-	// none means that another instance may still hold the lease.
-	none way = ""
-	// neverHeld leases have no record, or one that names no holder yet.
-	neverHeld way = "NeverHeld"
-	// ownRecord means that the record names this process.
-	ownRecord way = "OwnRecord"
-	// released means that the last holder has given the lease back.
-	released way = "Released"
-	// restarted means that another process of the holder's instance has started.
-	restarted way = "HolderRestarted"
-	// lapsed means that the holder's term has ended.
-	lapsed way = "Lapsed"
-)
-
 // logGained logs that this instance holds a lease from now on, and which way led
 // to it. WaitedMillis is the time since the former holder's record was first
 // seen.
@@ -43,7 +24,7 @@
 func logCalls(out *op.List, msg string, scope unit.Scope, l *Lease) {
 	logLease(out, msg, scope, l, map[string]string{
 		"InFlight": strconv.Itoa(l.Calls.InFlight), "Unanswered": strconv.Itoa(l.Calls.Unanswered),
-		"UnansweredAtMillis": formatMillis(l.Calls.UnansweredAt),
+		"SettledAtMillis": formatMillis(l.Calls.SettledAt),
 	})
 }
 
--- /dev/null
+++ b/internal/lease/release_test.go
@@ -0,0 +1,130 @@
+package lease
+
+import (
+	"testing"
+
+	"github.com/catkinhead/catkinhead/internal/op"
+	"github.com/catkinhead/catkinhead/pkg/clock"
+	"github.com/catkinhead/catkinhead/pkg/unit"
+)
+
+// testTimes are short times of a lease.
+var testTimes = Times{Duration: 3000, Grace: 1000, RenewEvery: 900, PollEvery: 250}
+
+// storedLease is a lease in a store that answers at once.
+type storedLease struct {
+	record   op.LeaseRecord
+	revision unit.Revision
+	// writes are the records that were written.
+	writes []op.LeaseRecord
+}
+
+// tick ticks an instance and completes the calls that it makes.
+func (o *storedLease) tick(now clock.Millis, s *State) {
+	var out op.List
+	s.Reduce(now, op.Tick{}, &out)
+	for len(out) > 0 {
+		e := out[0]
+		out = out[1:]
+		switch e := e.(type) {
+		case op.ReadLease:
+			s.Reduce(now, op.LeaseRead{Scope: scope, Result: op.Done, Record: o.record, Revision: o.revision}, &out)
+		case op.WriteLease:
+			o.record, o.revision = e.Record, o.revision+1
+			o.writes = append(o.writes, e.Record)
+			s.Reduce(now, op.LeaseWritten{Scope: scope, Result: op.Done, Record: e.Record, Revision: o.revision, SentAt: now}, &out)
+		}
+	}
+}
+
+// TestReleaseWaitsForAnswers guards against a lease that is released while a call
+// that was sent under it may still arrive.
+func TestReleaseWaitsForAnswers(t *testing.T) {
+	tests := map[string]struct {
+		// result ends a call at time 400; no result means that it does not end.
+		result op.Result
+		// released is when the lease is released, -1 for never.
+		released clock.Millis
+	}{
+		"answered":        {op.Done, 400},
+		"refused":         {op.Refused, 400},
+		"without answer":  {op.Lost, 1400},
+		"still in flight": {"", -1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			o, s := &storedLease{}, &State{Self: "a#1", Times: testTimes}
+			s.SetWanted(scope, true)
+			o.tick(0, s)
+			s.StartCall(scope)
+			s.SetWanted(scope, false)
+			released := clock.Millis(-1)
+			for now := clock.Millis(50); now <= 4000; now += 50 {
+				if now == 400 && tt.result != "" {
+					s.EndCall(now, scope, tt.result)
+				}
+				o.tick(now, s)
+				if _, _, held := s.Held(scope, now); held {
+					t.Fatalf("acts as the holder at %d", now)
+				}
+				if o.record.Holder == "" && released < 0 {
+					released = now
+				}
+			}
+			if released != tt.released {
+				t.Errorf("released at %d, want %d", released, tt.released)
+			}
+			if released >= 0 && (!o.record.Settled || s.AnyHeld(4000)) {
+				t.Errorf("record %+v, still releasing: %v", o.record, s.AnyHeld(4000))
+			}
+		})
+	}
+}
+
+// TestReleasedLeaseIsAcquired checks when a lease that its holder released is
+// acquired by an instance that has just ended a term of its own, by one that has
+// not, and if it is unknown whether calls may still arrive.
+func TestReleasedLeaseIsAcquired(t *testing.T) {
+	tests := map[string]struct {
+		settled bool
+		endedAt clock.Millis
+		want    clock.Millis
+	}{
+		"settled":                   {true, -1000, 0},
+		"not known to be settled":   {false, -1000, 1000},
+		"settled, held before that": {true, -400, 750},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			o := &storedLease{record: op.LeaseRecord{Fence: 4, Settled: tt.settled}, revision: 7}
+			s := &State{Self: "a#1", Times: testTimes}
+			s.SetWanted(scope, true)
+			s.Leases[scope].EndedAt = tt.endedAt
+			for now := clock.Millis(0); now < 5000; now += 50 {
+				o.tick(now, s)
+				if _, _, held := s.Held(scope, now); held {
+					if now != tt.want {
+						t.Errorf("acquired at %d, want %d", now, tt.want)
+					}
+					return
+				}
+			}
+			t.Error("never acquired")
+		})
+	}
+}
+
+// TestLateRenewalKeepsFence guards against a holder that takes its own lease
+// again under a higher fencing token, which its own earlier calls could follow.
+func TestLateRenewalKeepsFence(t *testing.T) {
+	o, s := &storedLease{}, &State{Self: "a#1", Times: testTimes}
+	s.SetWanted(scope, true)
+	o.tick(0, s)
+	before, _, _ := s.Held(scope, 0)
+	s.StartCall(scope)
+	o.tick(5000, s)
+	after, _, held := s.Held(scope, 5000)
+	if !held || after != before {
+		t.Errorf("held: %v, fencing token %d, want %d", held, after, before)
+	}
+}
--- a/internal/lease/restart_test.go
+++ b/internal/lease/restart_test.go
@@ -37,8 +37,8 @@
 }
 
 // TestLeaseTakeoverTime checks when a lease held by another instance is taken
-// over: at once if a heartbeat proves that the holder restarted, and only after
-// Duration plus Grace otherwise.
+// over: Grace after the first heartbeat that proves that the holder restarted, and
+// only after Duration plus Grace otherwise.
 func TestLeaseTakeoverTime(t *testing.T) {
 	times := Times{Duration: 3000, Grace: 700, RenewEvery: 900, PollEvery: 250}
 	tests := map[string]struct {
@@ -48,7 +48,11 @@
 		"no heartbeat from the holder": {nil, 3700, 3950},
 		"a restarted holder": {map[clock.Millis]func(*State){
 			1000: func(s *State) { s.ObserveHeartbeat(1000, "b#2") },
-		}, 1000, 1300},
+		}, 1700, 1950},
+		"a restarted holder that is heard again": {map[clock.Millis]func(*State){
+			1000: func(s *State) { s.ObserveHeartbeat(1000, "b#2") },
+			1500: func(s *State) { s.ObserveHeartbeat(1500, "b#2") },
+		}, 1700, 1950},
 		"a heartbeat that may be older than the lease": {map[clock.Millis]func(*State){
 			200: func(s *State) { s.ObserveHeartbeat(200, "b#0") },
 		}, 3700, 3950},
@@ -80,12 +84,13 @@
 	}
 }
 
-// TestRestartedInstanceReacquiresAtOnce checks that an instance does not wait
-// for a lease that is still held in the name of its own previous incarnation.
-func TestRestartedInstanceReacquiresAtOnce(t *testing.T) {
+// TestRestartedInstanceWaitsForCallsOfItsFormerProcess checks that an instance
+// waits for Grace from its start before it acquires a lease that is held in the
+// name of its own previous incarnation.
+func TestRestartedInstanceWaitsForCallsOfItsFormerProcess(t *testing.T) {
 	s := &State{Self: "b#2"}
 	s.ObserveHeartbeat(0, "c#1")
-	if at := acquiredAt(s, nil); at != 0 {
-		t.Errorf("lease of this instance's previous incarnation taken at %d, want 0", at)
+	if at := acquiredAt(s, nil); at < Grace || at > Grace+pollInterval {
+		t.Errorf("lease of this instance's previous incarnation taken at %d, want %d", at, Grace)
 	}
 }
--- a/internal/op/record.go
+++ b/internal/op/record.go
@@ -71,6 +71,9 @@
 	Fence unit.Fence
 	// Beat rises with each write, so that renewals can be told apart.
 	Beat int64
+	// Settled is set if the lease was given back and no call that was sent under
+	// it can arrive any more.
+	Settled bool `json:",omitempty"`
 }
 
 // OperatorState is the state that operators control: the configuration, the
