platform: an order is sent only to a target that answers, and is conditional

No wait at a change of holder bounds such a delay.

Change: SendVersion first asks the target for the number of orders it has accepted (GET /report), on the connection of the order and only while the order may be written; without an answer no order is sent, with outcome NotRun, so nothing is left on its way. Connections of orders count their bytes, so an order of which none was written is known not to have arrived.

The rig of the review answers the question too.

--- a/pkg/platform/link/write_deadline.go
+++ b/pkg/platform/link/write_deadline.go
@@ -38,14 +38,24 @@
 
 // NewOrderClient returns an HTTP client that opens a new connection for each
 // order, so that each order has its own write deadline.
-func NewOrderClient(c clock.Clock) *http.Client {
+func NewOrderClient(c clock.Clock) *http.Client { return newDeadlineClient(c, false) }
+
+// NewOrderSession returns an HTTP client for one order and the requests that
+// precede it, all of which have the same write deadline. They share a connection
+// if the receiver keeps it open. The caller must close the client's idle
+// connections afterwards.
+func NewOrderSession(c clock.Clock) *http.Client { return newDeadlineClient(c, true) }
+
+// newDeadlineClient returns an HTTP client whose connections have the write
+// deadline of the request for which they were opened.
+func newDeadlineClient(c clock.Clock, keepAlive bool) *http.Client {
 	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
 		conn, err := (&net.Dialer{Timeout: 2 * time.Second}).DialContext(ctx, network, addr)
 		if err != nil {
 			return nil, err
 		}
 		deadline, _ := ctx.Value(writeDeadlineKey{}).(clock.Millis)
-		return &deadlineConn{Conn: conn, clock: c, deadline: deadline}, nil
+		return &countingConn{Conn: &deadlineConn{Conn: conn, clock: c, deadline: deadline}}, nil
 	}
-	return &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}}
+	return &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: !keepAlive, MaxResponseHeaderBytes: maxHeaderBytes}}
 }
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -140,6 +140,10 @@
 		w.order(rw, r)
 		return
 	}
+	if r.URL.Path == "/report" {
+		_, _ = io.WriteString(rw, `{"busy":false,"seq":0}`)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
