decide: leases of serve wait for the answers to their calls too

The reducer now tells the package when such a call starts and ends, as that of edge does. A swap carries its pool, which names its lease.

--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -77,8 +77,10 @@
 // out.
 func (s *State) Reduce(now clock.Millis, ev op.Event) op.List {
 	var out op.List
+	s.endLeaseCall(now, ev)
 	s.handleEvent(now, ev, &out)
 	out = s.resolveInternalEffects(now, out)
+	s.startLeaseCalls(out)
 	s.Recent.record(now, out)
 	return out
 }
--- a/internal/op/effect.go
+++ b/internal/op/effect.go
@@ -266,6 +266,7 @@
 // SendSwap orders a target to stage or activate a version of its weights.
 // SwapSent reports the result.
 type SendSwap struct {
+	Pool    unit.Pool
 	Target  unit.Target
 	Address string
 	Swap    platform.Swap
--- a/internal/op/event.go
+++ b/internal/op/event.go
@@ -260,6 +260,7 @@
 
 // SwapSent is the result of SendSwap.
 type SwapSent struct {
+	Pool    unit.Pool
 	Target  unit.Target
 	Version unit.Version
 	Result  Result
--- a/internal/serve/effects.go
+++ b/internal/serve/effects.go
@@ -62,7 +62,7 @@
 		p.sendOrder(ctx, e)
 	case op.SendSwap:
 		err := p.deps.Swaps.Swap(ctx, e.Address, e.Swap)
-		p.loop.Post(op.SwapSent{Target: e.Target, Version: e.Swap.Version, Result: resultOf(err)})
+		p.loop.Post(op.SwapSent{Pool: e.Pool, Target: e.Target, Version: e.Swap.Version, Result: resultOf(err)})
 	case op.ReadVersions:
 		vs, err := p.deps.Weights.Versions(ctx, e.Pool)
 		p.loop.Post(op.VersionsRead{Pool: e.Pool, Result: resultOf(err), Versions: vs})
--- a/internal/weights/weights.go
+++ b/internal/weights/weights.go
@@ -141,7 +141,7 @@
 	}
 	t.Busy = true
 	swap.ID = string(x.Target) + "." + strconv.FormatInt(int64(swap.Version), 10)
-	out.Add(op.SendSwap{Target: x.Target, Address: x.Address, Swap: swap})
+	out.Add(op.SendSwap{Pool: x.Pool, Target: x.Target, Address: x.Address, Swap: swap})
 }
 
 // deleteUnseen deletes the state of targets that are not in the view any more.
