admit: a sample under which targets crashed is run again, never refused

Cause: the limit that protects targets from a caller's request that crashes them held for samples too. Samples are owed; nobody sends them again to crash the next target.

Change: the limit holds for requests that are not part of a step. A sample stays isolated from other suspects and waits 1.5 s after a crash, doubled with each crash beyond the second up to 6 s.

TestSampleUnderWhichTargetsCrashedIsDispatchedAgain covers six crashes.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -102,7 +102,7 @@
 // Submit queues a request or refuses it. The key and the route of the request
 // must have been checked before.
 func (s *State) Submit(now clock.Millis, r op.Request, out *op.List) {
-	if s.crashLimitReached(now, r.Fingerprint) {
+	if s.crashLimitReached(now, r) {
 		s.refuse(r, op.CrashSuspect, unit.NotRun, 0, out)
 		return
 	}
@@ -155,7 +155,7 @@
 	safe := e.Outcome == unit.NotRun || run.Idempotent && e.Passed == 0
 	notRun := e.Outcome == unit.NotRun
 	switch {
-	case s.crashLimitReached(now, run.Fingerprint):
+	case s.crashLimitReached(now, run.Request):
 		s.refuseRun(run, op.CrashSuspect, out)
 	case !safe || run.Attempts >= maxAttempts || !notRun && s.Retries < 1:
 		s.refuseRun(run, op.TargetFailed, out)
--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -168,6 +168,27 @@
 	}
 }
 
+// A sample under which targets crashed is owed: it is dispatched again after each
+// crash, however many there were, and never refused as a suspect.
+func TestSampleUnderWhichTargetsCrashedIsDispatchedAgain(t *testing.T) {
+	b := newFixture(4, 8)
+	step := unit.StepID{Workspace: "w", Name: "s"}
+	b.submit(op.Request{ID: "r", Idempotent: true, Fingerprint: 7, Step: step})
+	for n := range 3 * crashLimit {
+		b.finish(op.Finished{Run: b.onlyRunning(t).Run, Outcome: unit.Unknown, Crashed: true})
+		if r, ok := b.refused["r"]; ok {
+			if r.Reason == op.CrashSuspect {
+				t.Fatalf("sample is refused as a suspect after %d crashes", n+1)
+			}
+			delete(b.refused, "r")
+			b.submit(op.Request{ID: "r", Idempotent: true, Fingerprint: 7, Step: step})
+		}
+		b.now += maxSuspectDelay
+		b.apply(func(out *op.List) { b.s.Expire(b.now, out) })
+	}
+	b.onlyRunning(t)
+}
+
 // Two peers exchange a crash record until it expires. The exchange must not
 // renew it: records carry their age.
 func TestSuspectExpiresOnPeers(t *testing.T) {
--- a/internal/admit/suspect.go
+++ b/internal/admit/suspect.go
@@ -13,7 +13,8 @@
 	// suspectTTL is how long after the last crash the content of a request stays
 	// a suspect.
 	suspectTTL clock.Millis = 600 * clock.Second
-	// crashLimit is the number of crashes after which content is refused.
+	// crashLimit is the number of crashes after which the content of callers'
+	// requests is refused.
 	crashLimit = 2
 	// maxSuspects is the maximum number of suspects sent to a peer.
 	maxSuspects = 256
@@ -21,6 +22,9 @@
 	// dispatched again. By then, if several targets were reclaimed at the same
 	// time, all of them are known to be gone, and peers know the suspect.
 	suspectDelay clock.Millis = 1500
+	// maxSuspectDelay is the upper bound of suspectDelay, which doubles with each
+	// crash beyond crashLimit.
+	maxSuspectDelay clock.Millis = 6 * clock.Second
 	// crashWindow is the time within which failed attempts on one target count
 	// as a single crash.
 	crashWindow clock.Millis = clock.Second
@@ -89,14 +93,21 @@
 // isDelayed reports whether a suspect must still wait after its last crash.
 func (s *State) isDelayed(now clock.Millis, run *Run) bool {
 	x := s.Suspects[run.Fingerprint]
-	return run.Suspect && x != nil && now-x.At < suspectDelay
+	return run.Suspect && x != nil && now-x.At < x.delay()
 }
 
-// crashLimitReached reports whether the content with a fingerprint was in flight
-// in so many crashes that it is refused.
-func (s *State) crashLimitReached(now clock.Millis, f unit.Fingerprint) bool {
-	x := s.recentSuspect(now, f)
-	return x != nil && x.Crashes >= crashLimit
+// delay returns how long the content waits after its last crash.
+func (x *Suspect) delay() clock.Millis {
+	doublings := min(max(x.Crashes-crashLimit, 0), 10)
+	return min(suspectDelay<<doublings, maxSuspectDelay)
+}
+
+// crashLimitReached reports whether a request is refused because its content was
+// in flight in so many crashes. A sample never is: it is owed, whatever happened
+// to the targets that ran it.
+func (s *State) crashLimitReached(now clock.Millis, r op.Request) bool {
+	x := s.recentSuspect(now, r.Fingerprint)
+	return r.Step.Name == "" && x != nil && x.Crashes >= crashLimit
 }
 
 // MergeSuspects merges crash records of a peer: the higher count wins, with its
--- a/internal/decide/internal_effects.go
+++ b/internal/decide/internal_effects.go
@@ -25,7 +25,7 @@
 				final.Add(e)
 				break
 			}
-			s.Steps.HandleRefused(now, e, s.stepView(now), &more)
+			s.Steps.HandleRefused(now, e)
 		case op.DropStep:
 			s.Admit.CancelStep(now, e.Step, &more)
 			final.Add(e)
--- a/internal/step/step.go
+++ b/internal/step/step.go
@@ -362,22 +362,15 @@
 	s.submit(st, out)
 }
 
-// HandleRefused handles the refusal of a sample's request by admission. A
-// sample that is refused as a crash suspect is delivered as failed; all others
-// are retried after a backoff.
-func (s *State) HandleRefused(now clock.Millis, e op.Refuse, v View, out *op.List) {
+// HandleRefused handles the refusal of a sample's request by admission: the
+// sample is retried after a backoff.
+func (s *State) HandleRefused(now clock.Millis, e op.Refuse) {
 	r := op.Request{ID: e.Request, Step: e.Step, Index: e.Index}
 	st, x := s.runningSample(r)
 	if x == nil {
 		return
 	}
 	st.Running--
-	if e.Reason == op.CrashSuspect {
-		st.markReady(r.Index)
-		x.Result = op.SampleResult{Index: r.Index, Failed: e.Reason}
-		s.answerPulls(now, st, v, out)
-		return
-	}
 	st.scheduleRetry(now, r.Index, retryDelay(r, x.Tries))
 }
 
