batch: an item under which targets crashed is placed again within 2 s

What callers would see: in a burst of crashes several targets die while they run the same item; the targets are back and have room, but the item waits for up to 8 s, longer than its step has (LOST).

Causes, two in one place: - The backoff of items whose runs break assumed that the item crashes its targets, and doubled up to 8 s. Items never do by themselves. - A target that refused an item is probed with one item. If that run is stopped before its first event (end of the job, a new owner), the probe never ended, and the target got no item of that model from this instance any more.

Change: the backoff ends at 2 s (TestItemsThatAlwaysBreakBackOff, 16 runs in 20 s, holds as it is); a stopped run ends its probe.

Evidence: TestItemUnderWhichTargetsCrashedIsPlacedAgain: after 7 crashes placed after 6,400 ms (want less than 5,000, the bound of LOST); TestStoppedProbeDoesNotBarTarget: not within 5 s. Both pass now.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -42,11 +42,12 @@
 	// results are read from the store.
 	closedRetention clock.Millis = 120 * clock.Second
 	// breaksBeforeBackoff is how many consecutive runs of an item may break, as
-	// counted by Item.Barren, before backoff starts. There is a backoff because the
-	// item itself may be what crashes its targets.
+	// counted by Item.Barren, before backoff starts.
 	breaksBeforeBackoff = 2
-	// maxBackoff is the upper bound of the backoff for items whose runs break.
-	maxBackoff clock.Millis = 8 * clock.Second
+	// maxBackoff is the upper bound of the backoff for items whose runs break. It is
+	// well below the time of a step: the item is owed, whatever happened to the
+	// targets that ran it.
+	maxBackoff clock.Millis = 2 * clock.Second
 )
 
 // firstEpoch is the owner epoch of the instance that created a job.
@@ -262,6 +263,7 @@
 	switch it.Phase {
 	case running:
 		it.Phase = waiting
+		s.endProbe(it, it.Target, it.Run)
 	case scoring:
 		it.Phase, j.rewardsDueAt = unscored, 0
 	default:
@@ -286,9 +288,7 @@
 		it.Barren = 0
 	}
 	it.Phase, it.Last = waiting, e.Last
-	if c := s.Cooldowns[targetModel{e.Target, it.Model}]; c != nil && c.probeRun == e.Run {
-		c.probeRun = 0
-	}
+	s.endProbe(it, e.Target, e.Run)
 	v.Roster.AttemptEnded(now, e.Target, e.End == op.ItemBroken)
 	switch e.End {
 	case op.ItemComplete:
@@ -315,6 +315,13 @@
 	}
 }
 
+// endProbe lets another item probe a target if the run of this item did.
+func (s *State) endProbe(it *Item, t unit.Target, run int64) {
+	if c := s.Cooldowns[targetModel{t, it.Model}]; c != nil && c.probeRun == run {
+		c.probeRun = 0
+	}
+}
+
 // maxFailures returns after how many failures an item is given up. Without a
 // rule for the route there is no limit.
 func (s *State) maxFailures(j *Job, v View) int {
