edge: nothing of an error gets into a text, and a broken stream frees its target

Live streams are never resumed at another target here, and a text that has events takes only the next event; both were tested and held.

Change: a run needs a stream of events, whose events have IDs and begin with 0 or 1; a stream without any event is no output. The end of a broken stream is applied before the caller's connection is aborted.

Evidence: TestTextTakesNothingFromErrorOfNextTarget (six of the cases without an event were red), TestStreamWithoutEventsIsNoOutput and TestBrokenStreamFreesItsTarget were red, and pass.

--- a/internal/edge/items.go
+++ b/internal/edge/items.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"mime"
 	"net/http"
 	"slices"
 	"time"
@@ -41,11 +42,21 @@
 	// maxTextBytes bounds the text of an item, in bytes. A longer one would not fit
 	// into a chunk of results.
 	maxTextBytes = maxChunkBytes
+	// maxFirstEvent is the largest ID that the first event of a text may have:
+	// targets count events from 0 or from 1.
+	maxFirstEvent = 1
 	// eventOverhead is what an event adds to the text beside its data, in bytes. It
 	// also bounds the number of empty events.
 	eventOverhead = 16
 )
 
+// errNotStream ends a run whose successful answer is something else than a stream
+// of events, errNoEvents one whose stream ends although no event was ever made.
+var (
+	errNotStream = errors.New("answer is not a stream of events")
+	errNoEvents  = errors.New("stream ended without an event")
+)
+
 // errRunReplaced ends a run after another run of the same item has started.
 var errRunReplaced = errors.New("another run of the item has started")
 
@@ -176,6 +187,9 @@
 	defer reply.Body.Close()
 	switch reply.Status {
 	case http.StatusOK:
+		if !isEventStream(reply) {
+			return op.ItemBroken, errNotStream
+		}
 		return r.readEvents(reply)
 	case http.StatusUnprocessableEntity:
 		return op.ItemImpossible, fmt.Errorf("target answered with status %d", reply.Status)
@@ -186,6 +200,12 @@
 	}
 }
 
+// isEventStream reports whether the body of a reply is a stream of events.
+func isEventStream(reply *platform.Reply) bool {
+	mediaType, _, err := mime.ParseMediaType(reply.Header.Get("Content-Type"))
+	return err == nil && mediaType == "text/event-stream"
+}
+
 // buildRequest returns the request to the target. It returns false if the job's
 // content is no longer held.
 func (r *run) buildRequest() (platform.TargetRequest, bool) {
@@ -215,6 +235,9 @@
 	events := r.p.deps.Backends.Events(reply.Body)
 	for {
 		ev, err := events.Next()
+		if err == io.EOF && r.lastEvent < 0 {
+			return op.ItemBroken, errNoEvents
+		}
 		if err == io.EOF {
 			return op.ItemComplete, nil
 		}
@@ -259,7 +282,7 @@
 // keepEvent adds an event to the item's text. It returns an error if the event
 // does not follow the last one, or if this run may not add it.
 func (r *run) keepEvent(ev platform.Event) error {
-	if r.lastEvent >= 0 && ev.ID != r.lastEvent+1 {
+	if r.lastEvent < 0 && ev.ID > maxFirstEvent || r.lastEvent >= 0 && ev.ID != r.lastEvent+1 {
 		return fmt.Errorf("got event %d after event %d", ev.ID, r.lastEvent)
 	}
 	var err error
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -147,7 +148,12 @@
 	case op.Respond:
 		cr.respond(e)
 	case op.ForwardRequest:
-		cr.p.apply(cr.attempt(e))
+		ended := cr.attempt(e)
+		cr.p.apply(ended)
+		if ended.Begun && !ended.Whole && cr.r.Context().Err() == nil {
+			// Abort the caller's connection, so that the reply does not look complete.
+			panic(http.ErrAbortHandler)
+		}
 		return cr.r.Context().Err() == nil && cr.noEffectQueued()
 	case op.AcceptJob:
 		cr.acceptJob(e)
@@ -273,8 +279,8 @@
 	cr.w.WriteHeader(reply.Status)
 }
 
-// streamBody forwards a body as it arrives. If the body breaks off, it aborts
-// the caller's connection, so that the reply does not look complete.
+// streamBody forwards a body as it arrives. The error tells that the body broke
+// off, or that the caller left.
 func (cr *callerRequest) streamBody(body io.Reader) error {
 	rc := http.NewResponseController(cr.w)
 	buf := make([]byte, 8<<10)
@@ -292,7 +298,7 @@
 			return nil
 		}
 		if err != nil {
-			panic(http.ErrAbortHandler)
+			return &platform.Failure{Outcome: unit.Unknown, Err: fmt.Errorf("read reply: %w", err)}
 		}
 	}
 }
