decide: all orders of calls under a lease are explored

A second exploration of the lease model lets instances send calls under the lease, get their answers or not, and give the lease up.

--- a/internal/decide/lease_test.go
+++ b/internal/decide/lease_test.go
@@ -42,11 +42,23 @@
 	Late [2]*op.WriteLease
 	// Top is the highest fencing token under which an instance held the lease,
 	// TopBy that instance.
-	Top     unit.Fence
-	TopBy   int
+	Top   unit.Fence
+	TopBy int
+	// Sending is set if instances send calls under the lease. Sent is the last one
+	// of each instance that may still arrive at its receiver.
+	Sending bool
+	Sent    [2]*sentCall
 	failure string
 }
 
+// sentCall is a call that was sent under a lease and may arrive before Deadline.
+// Ended is set once its sender has stopped waiting for the answer.
+type sentCall struct {
+	Fence    unit.Fence
+	Deadline clock.Millis
+	Ended    bool
+}
+
 func (m *leaseModel) clone() model {
 	c := deepCopy(*m)
 	return &c
@@ -59,6 +71,11 @@
 	for i := range c.Nodes {
 		for _, l := range c.Nodes[i].Leases {
 			l.Until, l.SeenAt, l.NextAt = l.Until-c.Now, l.SeenAt-c.Now, max(l.NextAt-c.Now, 0)
+			l.EndedAt, l.Calls.SettledAt = max(l.EndedAt-c.Now, -lease.Grace), max(l.Calls.SettledAt-c.Now, 0)
+			l.Calls.Unanswered = 0
+		}
+		if c.Sent[i] != nil {
+			c.Sent[i].Deadline -= c.Now
 		}
 		if c.Calls[i] != nil {
 			c.Calls[i].SentAt -= c.Now
@@ -71,8 +88,10 @@
 // leaseMoves are the kinds of moves; all but "time" exist once per instance.
 // "apply" lets the store process the instance's call, "answer" delivers the
 // result, "lose" loses the call or its result, "arrive late" lets the write in
-// Late reach the store, and "round" is a tick whose calls all complete.
-var leaseMoves = []string{"time", "tick", "apply", "answer", "lose", "arrive late", "round"}
+// Late reach the store, and "round" is a tick whose calls all complete. "stop"
+// makes the instance give up the lease. "send" sends a call under the lease,
+// "answered" and "unanswered" end it.
+var leaseMoves = []string{"time", "tick", "apply", "answer", "lose", "arrive late", "round", "stop", "send", "answered", "unanswered"}
 
 // leaseMoveName returns the name of a move and the instance that makes it. Move
 // 0 advances the clock.
@@ -129,11 +148,39 @@
 		}
 		m.Obj.put(m.Late[i].Record, int64(m.Late[i].IfRev), &m.Revs)
 		m.Late[i] = nil
+	default:
+		if !m.Sending || !m.trySend(i, leaseMoves[(k-1)/2+1]) {
+			return false
+		}
 	}
 	m.check()
 	return true
 }
 
+// trySend makes a move that concerns the calls under the lease, or returns false
+// if it is not possible now. A call that was written arrives at the latest Grace
+// after the term of its sender, and Grace after its sender stopped waiting.
+func (m *leaseModel) trySend(i int, move string) bool {
+	s, call := &m.Nodes[i], m.Sent[i]
+	fence, until, held := s.Held(scope, m.Now)
+	switch {
+	case move == "stop" && held:
+		s.SetWanted(scope, false)
+	case move == "send" && held && (call == nil || call.Ended):
+		s.StartCall(scope)
+		m.Sent[i] = &sentCall{Fence: fence, Deadline: until + lease.Grace}
+	case move == "answered" && call != nil && !call.Ended:
+		s.EndCall(m.Now, scope, op.Done)
+		m.Sent[i] = nil
+	case move == "unanswered" && call != nil && !call.Ended:
+		s.EndCall(m.Now, scope, op.Lost)
+		call.Ended, call.Deadline = true, min(call.Deadline, m.Now+lease.Grace)
+	default:
+		return false
+	}
+	return true
+}
+
 // applyInStore lets the store process a call.
 func (m *leaseModel) applyInStore(c *leaseCall) {
 	c.Applied, c.Result = true, op.Done
@@ -181,6 +228,11 @@
 			m.failure = fmt.Sprintf("instance %d holds the lease with fencing token %d after instance %d held it with %d", i, f, m.TopBy, m.Top)
 		}
 		m.Top, m.TopBy = f, i
+		for from, call := range m.Sent {
+			if call != nil && call.Fence < f && m.Now < call.Deadline {
+				m.failure = fmt.Sprintf("instance %d holds the lease with fencing token %d while a call of instance %d with %d may arrive", i, f, from, call.Fence)
+			}
+		}
 	}
 	if held > 1 {
 		m.failure = "two instances hold the lease at once"
@@ -227,6 +279,19 @@
 	t.Logf("%d states to depth %d", n, depth)
 }
 
+// TestNoCallIsOvertakenByHigherFence explores the same sequences with instances
+// that send calls under the lease and give it up.
+func TestNoCallIsOvertakenByHigherFence(t *testing.T) {
+	depth := 8
+	if testing.Short() {
+		depth = 6
+	}
+	m := newLeaseModel()
+	m.Sending = true
+	n := explore(t, m, depth, leaseMoveName)
+	t.Logf("%d states to depth %d", n, depth)
+}
+
 // TestLeaseTakeoverAfterCrash checks that another instance acquires the lease
 // within 10 s after the holder stops, including the time for ticks and polls.
 func TestLeaseTakeoverAfterCrash(t *testing.T) {
