lease: a restarted holder goes on under its own token

Cause: a restarted instance waited for the calls of its own former process as for those of another. There is no need: it is the same holder, on the same machine, and may go on under the same fencing token, which orders nothing among its own calls.

Change: the record names the holder's address. A process that finds a record of its own instance and address acquires the lease at once with the token in it; at another address it may be another machine, and waits. Instances of edge read the lease once when they start, to find that out. What their former process sent may still arrive, so they do not release the lease before the grace since their start.

Evidence: TestRestartedHolderKeepsFence, TestInspectedLeaseIsOnlyRead.

--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -63,7 +63,7 @@
 	return &State{
 		Members: member.State{Self: self},
 		Config:  config.State{Seed: xxhash.Sum64String(string(self.Incarnation))},
-		Leases:  lease.State{Self: self.Incarnation},
+		Leases:  lease.State{Self: self.Incarnation, Address: self.Address},
 		Admit:   admit.New(name),
 		Steps:   step.State{Self: self.Incarnation},
 		Usage: usage.State{
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -110,7 +110,7 @@
 
 // NewState returns the state of an instance that starts now.
 func NewState(environment platform.Environment, self unit.Incarnation, now clock.Millis) *State {
-	return &State{
+	s := &State{
 		Environment: environment, Self: self, startedAt: now,
 		Roster:     roster.State{LocalDataCentre: environment.DataCentre},
 		Metering:   metering.State{Self: self, Length: clock.FromDuration(environment.Bounds.Window)},
@@ -118,6 +118,9 @@
 		Batch:      batch.State{Self: environment.Instance},
 		Heartbeats: heartbeat.State{Self: environment.Instance},
 	}
+	s.Leases.Address = s.PeerAddress()
+	s.Leases.Inspect(dutiesScope)
+	return s
 }
 
 // Reduce applies an event and returns the effects that it leads to.
@@ -249,12 +252,13 @@
 }
 
 // updateCandidacy decides whether this instance tries to hold the lease. A
-// holder keeps it until it drains. If no live instance holds it, the live
-// instance with the highest rank tries to acquire it.
+// holder keeps it until it drains, also when it starts again before another
+// instance has the lease. If no live instance holds it, the live instance with the
+// highest rank tries to acquire it.
 func (s *State) updateCandidacy(now clock.Millis) {
 	_, _, held := s.Leases.Held(dutiesScope, now)
-	wantLease := held
-	if !held && now >= s.startedAt+acquireDelay {
+	wantLease := held || s.Leases.HeldByOwnInstance(dutiesScope)
+	if !wantLease && now >= s.startedAt+acquireDelay {
 		wantLease = s.Heartbeats.RanksFirst(now, string(dutiesScope))
 		for _, p := range s.Heartbeats.LivePeers(now) {
 			if p.Holder && !p.Leaving {
--- a/internal/lease/acquire.go
+++ b/internal/lease/acquire.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"github.com/catkinhead/catkinhead/internal/op"
 	"github.com/catkinhead/catkinhead/pkg/clock"
 )
 
@@ -15,6 +16,8 @@
 	neverHeld way = "NeverHeld"
 	// ownRecord means that the record names this process.
 	ownRecord way = "OwnRecord"
+	// ownInstance means that the record names a former process of this instance.
+	ownInstance way = "OwnInstance"
 	// released means that the last holder has given the lease back.
 	released way = "Released"
 	// restarted means that another process of the holder's instance has started.
@@ -28,16 +31,16 @@
 // their receivers. An instance that held the lease before waits for Grace after
 // that term too, so that it does not act in turn with a holder in between.
 //
-// If the record names this process but the lease is not held, either the
-// response to the write was lost or the term has expired; no other instance has
-// held the lease since.
+// If the record names this instance, no other one has held the lease since, and
+// there is nobody to wait for.
 func (s *State) wayToAcquire(now clock.Millis, l *Lease) way {
 	grace := s.Times.orDefault().Grace
+	own := s.ownWay(l.Record)
 	switch {
 	case l.Record.Fence == 0:
 		return neverHeld
-	case l.Record.Holder == s.Self:
-		return ownRecord
+	case own != none:
+		return own
 	case !l.Calls.settled(now) || now < l.EndedAt+grace:
 		return none
 	}
@@ -48,6 +51,20 @@
 	return none
 }
 
+// ownWay returns ownRecord or ownInstance if the record names this instance, else
+// none. A process of the same name at another address may be on another machine,
+// whose calls have to be waited for. If this process is named but does not hold
+// the lease, either the response to the write was lost or the term has expired.
+func (s *State) ownWay(r op.LeaseRecord) way {
+	switch {
+	case r.Holder == s.Self:
+		return ownRecord
+	case r.Holder != "" && instanceOf(r.Holder) == instanceOf(s.Self) && s.Address != "" && r.Address == s.Address:
+		return ownInstance
+	}
+	return none
+}
+
 // endOfTerm returns how the term in the record has ended or will end, and when
 // at the latest.
 func (s *State) endOfTerm(l *Lease) (way, clock.Millis) {
--- a/internal/lease/doc.go
+++ b/internal/lease/doc.go
@@ -22,6 +22,10 @@
 // a term its successor waits for Grace. An instance that held the lease before
 // waits for Grace after its own term too, so that holders do not act in turn.
 //
+// An instance is one holder, whichever of its processes acts: one that starts
+// again before another instance has the lease goes on under the same fencing
+// token, and has nobody to wait for.
+//
 // If the response to a write is lost, the outcome is unknown until the object
 // has been read again or another write on the same revision has succeeded.
 //
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -54,9 +54,13 @@
 // State holds all leases that this instance holds or wants to hold. Self must
 // be set.
 type State struct {
-	Self   unit.Incarnation
-	Times  Times
-	Leases map[unit.Scope]*Lease
+	Self unit.Incarnation
+	// Address is where other instances reach this one. A process with the same
+	// instance and address as a former one is on the same machine. Empty means not
+	// known.
+	Address string
+	Times   Times
+	Leases  map[unit.Scope]*Lease
 	// lastSeen maps each instance to its incarnation that sent the latest
 	// heartbeat.
 	lastSeen map[unit.Instance]seenIncarnation
@@ -134,6 +138,9 @@
 	// heartbeat, received at ToldAt.
 	ToldRevision unit.Revision
 	ToldAt       clock.Millis
+	// Inspecting is set if the record is to be read although the lease is not
+	// wanted.
+	Inspecting bool
 	// Known is set once Record and Revision have been read or written. It is
 	// cleared when a conditional write conflicts, until the next read.
 	Known bool
@@ -158,6 +165,17 @@
 	s.lease(scope).Wanted = wanted
 }
 
+// Inspect makes the next tick read a lease even if this instance does not want it,
+// so that HeldByOwnInstance can tell whether a former process held it.
+func (s *State) Inspect(scope unit.Scope) { s.lease(scope).Inspecting = true }
+
+// HeldByOwnInstance reports whether the record of a lease, as last read, names a
+// process of this instance as the holder.
+func (s *State) HeldByOwnInstance(scope unit.Scope) bool {
+	l := s.Leases[scope]
+	return l != nil && s.ownWay(l.Record) != none
+}
+
 // Held returns the fencing token and the end of the term if this instance
 // holds the lease at the given time.
 func (s *State) Held(scope unit.Scope, now clock.Millis) (unit.Fence, clock.Millis, bool) {
@@ -213,7 +231,7 @@
 	case l.Busy:
 	case l.Releasing:
 		s.release(now, scope, l, out)
-	case !l.Wanted || now < l.NextAt:
+	case !l.Wanted && !l.Inspecting || now < l.NextAt:
 	case l.Held:
 		next := l.Record
 		next.Beat++
@@ -251,12 +269,16 @@
 	if e.Result != op.Done {
 		return
 	}
+	l.Inspecting = false
 	if !l.Known || l.Revision != e.Revision {
 		l.Known, l.Record, l.Revision, l.SeenAt = true, e.Record, e.Revision, now
 		if l.ToldRevision == e.Revision {
 			l.SeenAt = l.ToldAt
 		}
 	}
+	if !l.Wanted {
+		l.NextAt = now
+	}
 	if !l.Wanted || l.Held || l.Releasing {
 		return
 	}
@@ -265,8 +287,8 @@
 		return
 	}
 	l.way, l.waited = way, now-l.SeenAt
-	next := op.LeaseRecord{Holder: s.Self, Fence: l.Record.Fence + 1, Beat: l.Record.Beat + 1}
-	if way == ownRecord {
+	next := op.LeaseRecord{Holder: s.Self, Address: s.Address, Fence: l.Record.Fence + 1, Beat: l.Record.Beat + 1}
+	if way == ownRecord || way == ownInstance {
 		// Nobody else held the lease since, so this is a late renewal.
 		next.Fence = l.Record.Fence
 	}
@@ -286,7 +308,8 @@
 		l.NextAt = now + s.Times.orDefault().RenewEvery
 		switch {
 		case gained && l.Held:
-			s.logGained(e.Scope, l, out)
+			s.startTerm(l)
+			logGained(e.Scope, l, out)
 		case e.Record.Holder == "":
 			l.Releasing = false
 			logCalls(out, "lease released", e.Scope, l)
@@ -303,6 +326,16 @@
 	}
 }
 
+// startTerm starts to count the calls under the lease. Those of a former process of
+// this instance are not known; they can arrive until Grace after the start of this
+// one, time 0.
+func (s *State) startTerm(l *Lease) {
+	l.Calls.Unanswered = 0
+	if l.way == ownInstance {
+		l.Calls.SettledAt = max(l.Calls.SettledAt, s.Times.orDefault().Grace)
+	}
+}
+
 // handleUnknownWrite handles a write that may or may not have taken effect.
 // After a renewal, the current term remains valid until its end, and the write
 // is tried again with the same revision after retryDelay. If the first write
--- a/internal/lease/log.go
+++ b/internal/lease/log.go
@@ -12,8 +12,7 @@
 // logGained logs that this instance holds a lease from now on, and which way led
 // to it. WaitedMillis is the time since the former holder's record was first
 // seen.
-func (s *State) logGained(scope unit.Scope, l *Lease, out *op.List) {
-	l.Calls.Unanswered = 0
+func logGained(scope unit.Scope, l *Lease, out *op.List) {
 	logLease(out, "lease gained", scope, l, map[string]string{
 		"Way": string(l.way), "WaitedMillis": formatMillis(l.waited),
 	})
--- a/internal/lease/release_test.go
+++ b/internal/lease/release_test.go
@@ -128,3 +128,62 @@
 		t.Errorf("held: %v, fencing token %d, want %d", held, after, before)
 	}
 }
+
+// TestRestartedHolderKeepsFence guards against a restarted holder that waits for
+// itself, that takes a higher fencing token than its own late calls have, or that
+// releases the lease before these can arrive no more. At another address it may be
+// another machine, and waits.
+func TestRestartedHolderKeepsFence(t *testing.T) {
+	tests := map[string]struct {
+		address  string
+		acquired clock.Millis
+		fence    unit.Fence
+		released clock.Millis
+	}{
+		"same machine":  {"10.0.0.1:80", 0, 4, testTimes.Grace},
+		"other machine": {"10.0.0.2:80", testTimes.Grace, 5, 1050},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			record := op.LeaseRecord{Holder: "a#1", Address: "10.0.0.1:80", Fence: 4}
+			o, s := &storedLease{record: record, revision: 7}, &State{Self: "a#2", Address: tt.address, Times: testTimes}
+			s.ObserveHeartbeat(0, "c#1")
+			s.SetWanted(scope, true)
+			acquired := clock.Millis(-1)
+			for now := clock.Millis(0); now < 5000; now += 50 {
+				o.tick(now, s)
+				fence, _, held := s.Held(scope, now)
+				if held && acquired < 0 {
+					acquired = now
+					s.SetWanted(scope, false)
+					if fence != tt.fence {
+						t.Errorf("fencing token %d, want %d", fence, tt.fence)
+					}
+				}
+				if o.record.Holder == "" {
+					if now != tt.released {
+						t.Errorf("released at %d, want %d", now, tt.released)
+					}
+					break
+				}
+			}
+			if acquired != tt.acquired {
+				t.Errorf("acquired at %d, want %d", acquired, tt.acquired)
+			}
+		})
+	}
+}
+
+// TestInspectedLeaseIsOnlyRead checks that an instance can find out whether its
+// former process held a lease, without a try to acquire it.
+func TestInspectedLeaseIsOnlyRead(t *testing.T) {
+	o := &storedLease{record: op.LeaseRecord{Holder: "a#1", Address: "10.0.0.1:80", Fence: 4}, revision: 7}
+	s := &State{Self: "a#2", Address: "10.0.0.1:80", Times: testTimes}
+	s.Inspect(scope)
+	for now := clock.Millis(0); now < 10_000; now += 50 {
+		o.tick(now, s)
+	}
+	if !s.HeldByOwnInstance(scope) || len(o.writes) > 0 {
+		t.Errorf("held by own instance: %v, writes %+v", s.HeldByOwnInstance(scope), o.writes)
+	}
+}
--- a/internal/op/record.go
+++ b/internal/op/record.go
@@ -67,6 +67,8 @@
 // back.
 type LeaseRecord struct {
 	Holder unit.Incarnation
+	// Address is where other instances reach the holder, empty if it did not tell.
+	Address string `json:",omitempty"`
 	// Fence is the fencing token, which rises with each new holder.
 	Fence unit.Fence
 	// Beat rises with each write, so that renewals can be told apart.
