link: a call under a lease that is given up leaves nothing in its socket

What callers would see: the link between the holder and a target is cut while an order is sent. The order is given up after 1 s, but the system keeps its bytes and sends them again, less and less often, for minutes: it arrives a second or more after the link is healed, far beyond the grace.

Change: connections of calls under a lease drop what the receiver's system has not acknowledged when they are closed, also by the end of the process (linger 0), or after 1 s (user timeout).

Evidence: TestGivenUpCallLeavesNothingInSocket: the receiver read to the end of the data before, and gets a reset now.

--- a/pkg/platform/link/write_deadline.go
+++ b/pkg/platform/link/write_deadline.go
@@ -54,6 +54,7 @@
 		if err != nil {
 			return nil, err
 		}
+		limitDelivery(conn)
 		deadline, _ := ctx.Value(writeDeadlineKey{}).(clock.Millis)
 		return &countingConn{Conn: &deadlineConn{Conn: conn, clock: c, deadline: deadline}}, nil
 	}
