--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -4,7 +4,6 @@
 	"strconv"
 
 	"github.com/catkinhead/catkinhead/internal/batch"
-	"github.com/catkinhead/catkinhead/internal/duty"
 	"github.com/catkinhead/catkinhead/internal/forward"
 	"github.com/catkinhead/catkinhead/internal/heartbeat"
 	"github.com/catkinhead/catkinhead/internal/lease"
@@ -324,51 +323,6 @@
 // localWall returns the Unix time at now by the local clock alone.
 func (s *State) localWall(now clock.Millis) clock.Millis { return s.WallAt + now - s.TickAt }
 
-// forwardView returns what decisions on callers' requests depend on.
-func (s *State) forwardView(now clock.Millis) forward.View {
-	return forward.View{
-		Roster: &s.Roster, Table: s.Table, Fresh: s.KeysFresh(now), Age: s.Age(now), Metering: &s.Metering,
-		Wall: s.Wall(now), Crashes: s.crashes,
-	}
-}
-
-// batchView returns what decisions on jobs depend on.
-func (s *State) batchView() batch.View {
-	return batch.View{Roster: &s.Roster, Table: s.Table, Draining: s.Draining}
-}
-
-// holder returns this instance as the holder of the duties' lease.
-func (s *State) holder(now clock.Millis) duty.Holder {
-	fence, until, _ := s.Leases.Held(dutiesScope, now)
-	return duty.Holder{Self: s.Environment.Instance, Fence: fence, Until: until}
-}
-
-// dutyView returns what decisions on model versions and on the number of targets
-// depend on.
-func (s *State) dutyView(now clock.Millis) duty.View {
-	h := s.holder(now)
-	return duty.View{Holder: h, Roster: &s.Roster, Table: s.Table, Demands: s.demands(now, h.Fence)}
-}
-
-// demands returns the demand for each model by the jobs of this instance and of
-// each live peer. It is nil if the fencing token is 0, since only the lease
-// holder needs it.
-func (s *State) demands(now clock.Millis, fence unit.Fence) []op.Demand {
-	if fence == 0 {
-		return nil
-	}
-	out := s.Batch.Demands()
-	for _, p := range s.Heartbeats.LivePeers(now) {
-		out = append(out, p.Demands...)
-	}
-	return out
-}
-
-// meteringView returns what decisions on usage reports depend on.
-func (s *State) meteringView(now clock.Millis) metering.View {
-	return metering.View{Wall: s.Wall(now), Holder: s.holder(now)}
-}
-
 // drain starts the graceful shutdown: it begins to release the lease and to hand
 // over the jobs, and tells the peers at once.
 func (s *State) drain(now clock.Millis, out *op.List) {
@@ -381,30 +335,3 @@
 }
 
 func formatMillis(m clock.Millis) string { return strconv.FormatInt(int64(m), 10) }
-
-// Dump is the part of the state that is shown to operators. It holds no API keys.
-type Dump struct {
-	Instance             unit.Instance
-	ConfigurationVersion int64
-	ConfirmedAt          clock.Millis
-	Draining             bool
-	Targets              map[unit.Target]*roster.Target
-	Jobs                 map[string]*batch.Job
-	Peers                map[unit.Instance]*heartbeat.Peer
-	Versions             map[unit.Model]unit.Version
-	Assigned             map[unit.Target]unit.Model
-	Leases               map[unit.Scope]*lease.Lease
-}
-
-// Dump returns the state to show to operators. Its maps are those of s, not
-// copies, so it must not be used while events are applied.
-func (s *State) Dump() Dump {
-	d := Dump{
-		Instance: s.Environment.Instance, ConfirmedAt: s.ConfirmedAt, Draining: s.Draining, Targets: s.Roster.Targets,
-		Jobs: s.Batch.Jobs, Peers: s.Heartbeats.Peers, Versions: s.ModelVersions.Wanted, Assigned: s.ModelVersions.Assigned, Leases: s.Leases.Leases,
-	}
-	if s.Table != nil {
-		d.ConfigurationVersion = s.Table.Version
-	}
-	return d
-}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -3,54 +3,12 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 
 	"github.com/catkinhead/catkinhead/internal/op"
 	"github.com/catkinhead/catkinhead/pkg/clock"
 	"github.com/catkinhead/catkinhead/pkg/unit"
 )
 
-const (
-	// Duration is the term of a lease, counted from just before the write that
-	// grants or renews it is sent.
-	Duration clock.Millis = 5 * clock.Second
-	// Grace is how long after the end of a term a call that was sent under the
-	// lease and has no answer may still arrive at its receiver. Nobody acts under
-	// a new fencing token before that. It also covers clock drift.
-	Grace clock.Millis = 3 * clock.Second
-	// MaxOrderTime is the longest time that sending an order may take.
-	MaxOrderTime clock.Millis = clock.Second
-	// renewInterval is the time between renewals of a lease held by this
-	// instance.
-	renewInterval clock.Millis = 1500
-	// pollInterval is the time between reads of a lease held by another
-	// instance.
-	pollInterval clock.Millis = clock.Second
-	// retryDelay is the pause after a write that conflicted or whose outcome is
-	// unknown.
-	retryDelay clock.Millis = 300
-)
-
-// restartMargin is the minimum time from the first sight of a lease record to a
-// heartbeat of another incarnation of the holder's instance for that heartbeat
-// to prove that the holder has ended. Without the margin, a delayed datagram
-// from an incarnation before the holder could be mistaken for one from its
-// successor.
-const restartMargin clock.Millis = 300
-
-// Times overrides the timing constants of the package. If Duration is 0, all
-// constants apply; otherwise all fields must be set.
-type Times struct {
-	Duration, Grace, RenewEvery, PollEvery clock.Millis
-}
-
-func (t Times) orDefault() Times {
-	if t.Duration == 0 {
-		return Times{Duration: Duration, Grace: Grace, RenewEvery: renewInterval, PollEvery: pollInterval}
-	}
-	return t
-}
-
 // State holds all leases that this instance holds or wants to hold. Self must
 // be set.
 type State struct {
@@ -66,37 +24,6 @@
 	lastSeen map[unit.Instance]seenIncarnation
 }
 
-// seenIncarnation is an incarnation and the times of its first and its latest
-// heartbeat.
-type seenIncarnation struct {
-	incarnation unit.Incarnation
-	since, at   clock.Millis
-}
-
-// ObserveHeartbeat records a heartbeat from an incarnation. If a different
-// incarnation of the same instance holds a lease, its term is over, because two
-// incarnations of an instance never run at the same time.
-func (s *State) ObserveHeartbeat(now clock.Millis, i unit.Incarnation) {
-	if s.lastSeen == nil {
-		s.lastSeen = make(map[unit.Instance]seenIncarnation)
-	}
-	seen := s.lastSeen[instanceOf(i)]
-	if seen.incarnation != i {
-		seen = seenIncarnation{incarnation: i, since: now}
-	}
-	seen.at = now
-	s.lastSeen[instanceOf(i)] = seen
-}
-
-// ObserveRenewal records the lease revision that the holder announced in a
-// heartbeat. When this revision is later read from the store, the wait for a
-// takeover counts from the announcement instead of from the read.
-func (s *State) ObserveRenewal(now clock.Millis, scope unit.Scope, rev unit.Revision) {
-	if l := s.lease(scope); rev > l.ToldRevision {
-		l.ToldRevision, l.ToldAt = rev, now
-	}
-}
-
 // lease returns the entry of a scope and creates an empty one if there is none.
 func (s *State) lease(scope unit.Scope) *Lease {
 	if s.Leases == nil {
@@ -110,12 +37,6 @@
 	return l
 }
 
-// instanceOf returns the instance part of an incarnation ("instance#start").
-func instanceOf(i unit.Incarnation) unit.Instance {
-	name, _, _ := strings.Cut(string(i), "#")
-	return unit.Instance(name)
-}
-
 // Lease is this instance's view of one lease.
 type Lease struct {
 	// Wanted is set while this instance tries to acquire or keep the lease.
@@ -294,62 +215,3 @@
 	}
 	s.startWrite(e.Scope, l, next, out)
 }
-
-// handleWritten applies the result of a conditional write: a new term, a lost
-// lease, or an unknown outcome.
-func (s *State) handleWritten(now clock.Millis, l *Lease, e op.LeaseWritten, out *op.List) {
-	l.Busy = false
-	switch e.Result {
-	case op.Done:
-		gained := !l.Held && e.Record.Holder == s.Self
-		l.Known, l.Record, l.Revision, l.SeenAt = true, e.Record, e.Revision, now
-		l.Until = e.SentAt + s.Times.orDefault().Duration
-		l.Held = e.Record.Holder == s.Self && now < l.Until && !l.Releasing
-		l.NextAt = now + s.Times.orDefault().RenewEvery
-		switch {
-		case gained && l.Held:
-			s.startTerm(l)
-			logGained(e.Scope, l, out)
-		case e.Record.Holder == "":
-			l.Releasing = false
-			logCalls(out, "lease released", e.Scope, l)
-		}
-	case op.Conflict:
-		if l.Held {
-			l.end(now)
-			logCalls(out, "lease lost", e.Scope, l)
-		}
-		l.Known, l.Releasing = false, false
-		l.NextAt = now + retryDelay
-	default:
-		s.handleUnknownWrite(now, e, l, out)
-	}
-}
-
-// startTerm starts to count the calls under the lease. Those of a former process of
-// this instance are not known; they can arrive until Grace after the start of this
-// one, time 0.
-func (s *State) startTerm(l *Lease) {
-	l.Calls.Unanswered = 0
-	if l.way == ownInstance {
-		l.Calls.SettledAt = max(l.Calls.SettledAt, s.Times.orDefault().Grace)
-	}
-}
-
-// handleUnknownWrite handles a write that may or may not have taken effect.
-// After a renewal, the current term remains valid until its end, and the write
-// is tried again with the same revision after retryDelay. If the first write
-// did take effect, the second conflicts, and the object is read again. Once no
-// more than a quarter of Duration is left, the lease is given up instead, so
-// that the object is read before the next write. An attempt to acquire the
-// lease is followed by a read, and a release is not repeated.
-func (s *State) handleUnknownWrite(now clock.Millis, e op.LeaseWritten, l *Lease, out *op.List) {
-	l.NextAt = now + retryDelay
-	if e.Record.Holder == "" {
-		l.Releasing = false
-	}
-	if l.Held && now+s.Times.orDefault().Duration/4 >= l.Until {
-		l.end(now)
-		logCalls(out, "lease given up: its renewal is not confirmed", e.Scope, l)
-	}
-}
