lease: a release whose answer is lost is repeated

What callers would see: a planned stop while answers of the store are lost leaves the lease with the instance that has stopped, and no version is ordered for the term and the grace, 6 s.

Cause: a release was written once, on the revision last known. If the answer to the renewal before it was lost, that revision could be old and the release conflicted; if its own answer was lost, nobody looked whether it took effect.

Change: while an instance releases a lease it reads the record again after a write without a known result, and writes the release again if the record still names it, until its term is over.

Evidence: TestReleaseIsRepeatedAfterLostAnswer, four of six cases red before, all pass.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -150,8 +150,10 @@
 	}
 	switch {
 	case l.Busy:
-	case l.Releasing:
+	case l.Releasing && l.Known:
 		s.release(now, scope, l, out)
+	case l.Releasing:
+		s.readAgain(now, scope, l, out)
 	case !l.Wanted && !l.Inspecting || now < l.NextAt:
 	case l.Held:
 		next := l.Record
@@ -175,6 +177,19 @@
 	}
 }
 
+// readAgain reads the record because it is not known whether the release or the
+// renewal before it took effect. After the end of the term nobody relies on the
+// release any more.
+func (s *State) readAgain(now clock.Millis, scope unit.Scope, l *Lease, out *op.List) {
+	switch {
+	case now >= l.Until:
+		l.Releasing = false
+	case now >= l.NextAt:
+		l.Busy = true
+		out.Add(op.ReadLease{Scope: scope})
+	}
+}
+
 // startWrite starts a write of the record, conditional on the last seen
 // revision.
 func (s *State) startWrite(scope unit.Scope, l *Lease, r op.LeaseRecord, out *op.List) {
@@ -197,6 +212,9 @@
 			l.SeenAt = l.ToldAt
 		}
 	}
+	if l.Releasing && s.ownWay(l.Record) != ownRecord {
+		l.Releasing = false
+	}
 	if !l.Wanted {
 		l.NextAt = now
 	}
--- a/internal/lease/release_test.go
+++ b/internal/lease/release_test.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/catkinhead/catkinhead/internal/op"
@@ -17,6 +18,8 @@
 	revision unit.Revision
 	// writes are the records that were written.
 	writes []op.LeaseRecord
+	// lose makes writes lose their answer, loseEffect also their effect.
+	lose, loseEffect bool
 }
 
 // tick ticks an instance and completes the calls that it makes.
@@ -30,13 +33,26 @@
 		case op.ReadLease:
 			s.Reduce(now, op.LeaseRead{Scope: scope, Result: op.Done, Record: o.record, Revision: o.revision}, &out)
 		case op.WriteLease:
-			o.record, o.revision = e.Record, o.revision+1
-			o.writes = append(o.writes, e.Record)
-			s.Reduce(now, op.LeaseWritten{Scope: scope, Result: op.Done, Record: e.Record, Revision: o.revision, SentAt: now}, &out)
+			s.Reduce(now, o.write(now, e), &out)
 		}
 	}
 }
 
+// write carries out a write if its condition holds, and returns its result.
+func (o *storedLease) write(now clock.Millis, e op.WriteLease) op.LeaseWritten {
+	result := op.LeaseWritten{Scope: scope, Result: op.Conflict, Record: e.Record, SentAt: now}
+	if e.IfRev == o.revision && !(o.lose && o.loseEffect) {
+		o.record, o.revision = e.Record, o.revision+1
+		o.writes = append(o.writes, e.Record)
+		result.Result = op.Done
+	}
+	result.Revision = o.revision
+	if o.lose {
+		result.Result = op.Lost
+	}
+	return result
+}
+
 // TestReleaseWaitsForAnswers guards against a lease that is released while a call
 // that was sent under it may still arrive.
 func TestReleaseWaitsForAnswers(t *testing.T) {
@@ -81,6 +97,36 @@
 	}
 }
 
+// TestReleaseIsRepeatedAfterLostAnswer guards against a lease that stays with a
+// holder that has stopped, because the answer to its renewal or its release was
+// lost. Writes are lost with or without effect.
+func TestReleaseIsRepeatedAfterLostAnswer(t *testing.T) {
+	tests := map[string]struct{ renewal, release bool }{
+		"renewal": {renewal: true}, "release": {release: true}, "both": {true, true},
+	}
+	for name, tt := range tests {
+		for _, effect := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, without effect %v", name, effect), func(t *testing.T) {
+				o, s := &storedLease{}, &State{Self: "a#1", Times: testTimes}
+				s.SetWanted(scope, true)
+				o.tick(0, s)
+				o.lose, o.loseEffect = tt.renewal, effect
+				o.tick(testTimes.RenewEvery, s)
+				s.SetWanted(scope, false)
+				o.lose = tt.release
+				o.tick(1000, s)
+				o.lose = false
+				for now := clock.Millis(1050); now < 2500; now += 50 {
+					o.tick(now, s)
+				}
+				if o.record.Holder != "" || !o.record.Settled || s.AnyHeld(2500) {
+					t.Errorf("record %+v, still releasing: %v", o.record, s.AnyHeld(2500))
+				}
+			})
+		}
+	}
+}
+
 // TestReleasedLeaseIsAcquired checks when a lease that its holder released is
 // acquired by an instance that has just ended a term of its own, by one that has
 // not, and if it is unknown whether calls may still arrive.
--- a/internal/lease/written.go
+++ b/internal/lease/written.go
@@ -29,7 +29,7 @@
 			l.end(now)
 			logCalls(out, "lease lost", e.Scope, l)
 		}
-		l.Known, l.Releasing = false, false
+		l.Known = false
 		l.NextAt = now + retryDelay
 	default:
 		s.handleUnknownWrite(now, e, l, out)
@@ -52,11 +52,11 @@
 // did take effect, the second conflicts, and the object is read again. Once no
 // more than a quarter of Duration is left, the lease is given up instead, so
 // that the object is read before the next write. An attempt to acquire the
-// lease is followed by a read, and a release is not repeated.
+// lease or to release it is followed by a read.
 func (s *State) handleUnknownWrite(now clock.Millis, e op.LeaseWritten, l *Lease, out *op.List) {
 	l.NextAt = now + retryDelay
-	if e.Record.Holder == "" {
-		l.Releasing = false
+	if l.Releasing {
+		l.Known = false
 	}
 	if l.Held && now+s.Times.orDefault().Duration/4 >= l.Until {
 		l.end(now)
