--- a/review/1/main.go
+++ b/review/1/main.go
@@ -129,7 +129,7 @@
 			return "", err
 		}
 		if r.Trouble {
-			err = disturb(p, byName, holder.holder)
+			err = disturb(p, byName, holder.holder, anyone)
 		}
 		if err != nil {
 			return "", err
@@ -142,18 +142,25 @@
 	return p.turns(), nil
 }
 
-// disturb kills the holder, which starts again, and stops the next holder as planned
-// once it has acted.
-func disturb(p *platform, byName map[string]*rig.Edge, holder string) error {
+// disturb kills the holder, which starts again, and stops the next instance that
+// acts as planned: its successor, or the holder itself if it goes on.
+func disturb(p *platform, byName map[string]*rig.Edge, holder string, anyone func(string) bool) error {
 	from := time.Now()
 	killed := make(chan error, 1)
 	go func() { killed <- restart(byName[holder], syscall.SIGKILL) }()
-	next, err := p.next(from, func(name string) bool { return name != holder })
+	next, err := p.next(from, anyone)
 	if err != nil {
 		return err
 	}
+	stop := func() error { return restart(byName[next.holder], syscall.SIGTERM) }
+	if next.holder == holder {
+		if err := <-killed; err != nil {
+			return err
+		}
+		return stop()
+	}
 	stopped := make(chan error, 1)
-	go func() { stopped <- restart(byName[next.holder], syscall.SIGTERM) }()
+	go func() { stopped <- stop() }()
 	if err := <-killed; err != nil {
 		return err
 	}
