edge, lease: a holder that has restarted hands the duties over

Nothing counted restarts.

Change: it goes on for the grace, in which calls of its former process may arrive anyway, then releases the lease to a peer that has been running for longer, and is no candidate for 10 s. The record counts restarts in a row; after two, the instance does not go on, and the peers take over when the grace or the term is over. A change of holder is announced by a heartbeat at once.

Why it works: the hand-over is that of a planned stop, so no call under the old token can arrive after one under the new one, and a former holder waits for the grace.

--- a/internal/edge/heartbeats.go
+++ b/internal/edge/heartbeats.go
@@ -109,7 +109,7 @@
 	_, _, held := s.Leases.Held(dutiesScope, now)
 	h := op.Heartbeat{
 		Instance: s.Environment.Instance, Incarnation: s.Self, Seq: s.heartbeatSeq, Address: s.PeerAddress(),
-		DataCentre: s.Environment.DataCentre, Uptime: now - s.startedAt, Next: interval, Wall: s.localWall(now), Leaving: s.Draining, Holder: held,
+		DataCentre: s.Environment.DataCentre, Uptime: now - s.startedAt, Next: interval, Wall: s.localWall(now), Leaving: s.Draining, Holder: held, Yields: s.yieldsDuties(now),
 		Orphans: s.Heartbeats.Orphans(), Running: s.Roster.LocalAttempts(), Demands: s.Batch.Demands(), Crashes: s.Forward.Crashes(now),
 		Slow: s.Roster.LocalSlow(now),
 	}
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -28,9 +28,6 @@
 	// configuration counts as fresh. The rest is a margin for a watch that stays
 	// silent for a second although there are changes.
 	freshFraction = 0.7
-	// acquireDelay is how long after its start an instance waits for a heartbeat
-	// of the lease holder before it tries to acquire the lease.
-	acquireDelay clock.Millis = 600
 	// aggregateInterval is the longest time between two aggregations of what the
 	// peers reported, even if no heartbeat arrives.
 	aggregateInterval clock.Millis = 250
@@ -90,6 +87,8 @@
 	// is reported to the process.
 	wasFresh       bool
 	wasLeaseHolder bool
+	// wasYielding is the result of yieldsDuties at the last tick. A change is logged.
+	wasYielding bool
 	// sentWaiting is set if the last heartbeat reported items that wait for a
 	// target. Once none waits any more, the next heartbeat is sent at once.
 	sentWaiting bool
@@ -231,10 +230,8 @@
 	if now >= s.nextHeartbeatAt || s.sentWaiting && !anyWaiting(s.Batch.Demands()) {
 		s.sendHeartbeats(now, out)
 	}
-	if _, _, held := s.Leases.Held(dutiesScope, now); held != s.wasLeaseHolder {
-		s.wasLeaseHolder = held
-		out.Add(op.DutiesLeaseChanged{Held: held})
-	}
+	s.logYielding(now, out)
+	s.reportLeaseChange(now, out)
 	if fresh := s.KeysFresh(now); fresh != s.wasFresh {
 		s.wasFresh = fresh
 		out.Add(op.Note{Level: "info", Message: "freshness of the configuration changed", Fields: map[string]string{
@@ -243,6 +240,19 @@
 	}
 }
 
+// reportLeaseChange tells the process and the peers whether this instance holds the
+// lease, if that has changed. The peers are told at once, since the next holder waits
+// for it.
+func (s *State) reportLeaseChange(now clock.Millis, out *op.List) {
+	_, _, held := s.Leases.Held(dutiesScope, now)
+	if held == s.wasLeaseHolder {
+		return
+	}
+	s.wasLeaseHolder = held
+	out.Add(op.DutiesLeaseChanged{Held: held})
+	s.sendHeartbeats(now, out)
+}
+
 // advance lets jobs and version orders proceed after a tick, or after a change of
 // targets or of the configuration.
 func (s *State) advance(now clock.Millis, out *op.List) {
@@ -250,24 +260,6 @@
 	s.ModelVersions.Advance(now, s.dutyView(now), out)
 }
 
-// updateCandidacy decides whether this instance tries to hold the lease. A
-// holder keeps it until it drains, also when it starts again before another
-// instance has the lease. If no live instance holds it, the live instance with the
-// highest rank tries to acquire it.
-func (s *State) updateCandidacy(now clock.Millis) {
-	_, _, held := s.Leases.Held(dutiesScope, now)
-	wantLease := held || s.Leases.HeldByOwnInstance(dutiesScope)
-	if !wantLease && now >= s.startedAt+acquireDelay {
-		wantLease = s.Heartbeats.RanksFirst(now, string(dutiesScope))
-		for _, p := range s.Heartbeats.LivePeers(now) {
-			if p.Holder && !p.Leaving {
-				wantLease = false
-			}
-		}
-	}
-	s.Leases.SetWanted(dutiesScope, wantLease && !s.Draining)
-}
-
 // configurationChanged replaces the configuration by a newer one.
 func (s *State) configurationChanged(now clock.Millis, e op.ConfigurationChanged, out *op.List) {
 	if s.Table != nil && e.Revision <= s.Table.Revision {
--- a/internal/heartbeat/heartbeat.go
+++ b/internal/heartbeat/heartbeat.go
@@ -128,18 +128,38 @@
 
 // RanksFirst reports whether this instance ranks first among itself and the live
 // peers that are not draining. The subject is what the ranking is for, such as
-// the ID of a job or the scope of a lease. Instances with the same view of the
-// fleet agree on which one ranks first.
+// the ID of a job. Instances with the same view of the fleet agree on which one
+// ranks first.
 func (s *State) RanksFirst(now clock.Millis, subject string) bool {
+	return s.ranksFirst(now, subject, func(p *Peer) bool { return !p.Leaving })
+}
+
+// RanksFirstForDuties is RanksFirst among the instances that do not leave the
+// duties to their peers. The subject is the scope of the lease.
+func (s *State) RanksFirstForDuties(now clock.Millis, subject string) bool {
+	return s.ranksFirst(now, subject, func(p *Peer) bool { return !p.Leaving && !p.Yields })
+}
+
+// ranksFirst reports whether this instance ranks first among itself and the live
+// peers that are eligible.
+func (s *State) ranksFirst(now clock.Millis, subject string, eligible func(*Peer) bool) bool {
 	own := rank(subject, s.Self)
 	for _, p := range s.LivePeers(now) {
-		if !p.Leaving && rank(subject, p.Instance) > own {
+		if eligible(p) && rank(subject, p.Instance) > own {
 			return false
 		}
 	}
 	return true
 }
 
+// HasSteadierPeer reports whether a live peer that is not draining has been running
+// for clearly longer than uptime.
+func (s *State) HasSteadierPeer(now, uptime clock.Millis) bool {
+	return slices.ContainsFunc(s.LivePeers(now), func(p *Peer) bool {
+		return !p.Leaving && p.Uptime > uptime+uptimeMargin
+	})
+}
+
 // rank returns the weight of an instance for a subject in rendezvous hashing.
 func rank(subject string, id unit.Instance) uint64 {
 	return xxhash.Sum64String(subject + "\x00" + string(id))
--- a/internal/lease/acquire.go
+++ b/internal/lease/acquire.go
@@ -32,13 +32,16 @@
 // that term too, so that it does not act in turn with a holder in between.
 //
 // If the record names this instance, no other one has held the lease since, and
-// there is nobody to wait for.
+// there is nobody to wait for. An instance that has restarted too often in a row
+// leaves the lease to others until it has been running for steadyUptime.
 func (s *State) wayToAcquire(now clock.Millis, l *Lease) way {
 	grace := s.Times.orDefault().Grace
 	own := s.ownWay(l.Record)
 	switch {
 	case l.Record.Fence == 0:
 		return neverHeld
+	case own == ownInstance && l.Restart == FailingHolder && now < steadyUptime:
+		return none
 	case own != none:
 		return own
 	case !l.Calls.settled(now) || now < l.EndedAt+grace:
@@ -71,10 +74,11 @@
 	if l.Record.Holder == "" {
 		return released, l.SeenAt
 	}
-	if at, ok := s.holderRestartedAt(l); ok {
+	lapsedAt := l.SeenAt + s.Times.orDefault().Duration
+	if at, ok := s.holderRestartedAt(l); ok && at < lapsedAt {
 		return restarted, at
 	}
-	return lapsed, l.SeenAt + s.Times.orDefault().Duration
+	return lapsed, lapsedAt
 }
 
 // holderRestartedAt returns a time by which the incarnation named in the record
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -71,6 +71,8 @@
 	NextAt clock.Millis
 	// Calls are the calls to receivers that are sent under the lease.
 	Calls Calls
+	// Restart tells whether this process follows one that held the lease.
+	Restart Restart
 	// way is why the attempt to acquire the lease that is in flight was allowed,
 	// and waited the time since the record was first seen.
 	way    way
@@ -158,6 +160,9 @@
 	case l.Held:
 		next := l.Record
 		next.Beat++
+		if now >= steadyUptime {
+			next.Restarts = 0
+		}
 		s.startWrite(scope, l, next, out)
 	default:
 		l.Busy = true
@@ -206,6 +211,9 @@
 		return
 	}
 	l.Inspecting = false
+	if l.Restart == RestartUnknown {
+		l.Restart = s.restartOf(e.Record)
+	}
 	if !l.Known || l.Revision != e.Revision {
 		l.Known, l.Record, l.Revision, l.SeenAt = true, e.Record, e.Revision, now
 		if l.ToldRevision == e.Revision {
@@ -229,7 +237,10 @@
 	next := op.LeaseRecord{Holder: s.Self, Address: s.Address, Fence: l.Record.Fence + 1, Beat: l.Record.Beat + 1}
 	if way == ownRecord || way == ownInstance {
 		// Nobody else held the lease since, so this is a late renewal.
-		next.Fence = l.Record.Fence
+		next.Fence, next.Restarts = l.Record.Fence, l.Record.Restarts
+	}
+	if way == ownInstance {
+		next.Restarts++
 	}
 	s.startWrite(e.Scope, l, next, out)
 }
--- a/internal/lease/release_test.go
+++ b/internal/lease/release_test.go
@@ -178,20 +178,25 @@
 // TestRestartedHolderKeepsFence guards against a restarted holder that waits for
 // itself, that takes a higher fencing token than its own late calls have, or that
 // releases the lease before these can arrive no more. At another address it may be
-// another machine, and waits.
+// another machine, and waits. After two restarts in a row it leaves the lease to
+// others.
 func TestRestartedHolderKeepsFence(t *testing.T) {
 	tests := map[string]struct {
 		address  string
+		restarts int
 		acquired clock.Millis
 		fence    unit.Fence
 		released clock.Millis
 	}{
-		"same machine":  {"10.0.0.1:80", 0, 4, testTimes.Grace},
-		"other machine": {"10.0.0.2:80", testTimes.Grace, 5, 1050},
+		"same machine":         {"10.0.0.1:80", 0, 0, 4, testTimes.Grace},
+		"second restart":       {"10.0.0.1:80", 1, 0, 4, testTimes.Grace},
+		"third restart":        {"10.0.0.1:80", 2, -1, 0, -1},
+		"other machine":        {"10.0.0.2:80", 0, testTimes.Grace, 5, 1050},
+		"other, third restart": {"10.0.0.2:80", 2, testTimes.Grace, 5, 1050},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			record := op.LeaseRecord{Holder: "a#1", Address: "10.0.0.1:80", Fence: 4}
+			record := op.LeaseRecord{Holder: "a#1", Address: "10.0.0.1:80", Fence: 4, Restarts: tt.restarts}
 			o, s := &storedLease{record: record, revision: 7}, &State{Self: "a#2", Address: tt.address, Times: testTimes}
 			s.ObserveHeartbeat(0, "c#1")
 			s.SetWanted(scope, true)
--- a/internal/lease/times.go
+++ b/internal/lease/times.go
@@ -21,6 +21,11 @@
 	// retryDelay is the pause after a write that conflicted or whose outcome is
 	// unknown.
 	retryDelay clock.Millis = 300
+	// steadyUptime is how long a holder must have been running for its former
+	// restarts not to count any more.
+	steadyUptime = 10 * clock.Second
+	// maxRestarts is how many restarts in a row a holder may go on after.
+	maxRestarts = 2
 )
 
 // Times overrides the timing constants of the package. If Duration is 0, all
--- a/internal/op/heartbeat.go
+++ b/internal/op/heartbeat.go
@@ -23,6 +23,9 @@
 	// Holder is set while the sender holds the lease of the fleet's
 	// single-instance duties.
 	Holder bool
+	// Yields is set while the sender leaves that lease to its peers, since it has
+	// restarted as its holder.
+	Yields bool `json:",omitempty"`
 	// Jobs are the jobs that the sender owns and has claimed.
 	Jobs []JobStatus `json:",omitempty"`
 	// Ahead are the jobs that the sender runs although they are not stored yet.
--- a/internal/op/record.go
+++ b/internal/op/record.go
@@ -73,6 +73,9 @@
 	Fence unit.Fence
 	// Beat rises with each write, so that renewals can be told apart.
 	Beat int64
+	// Restarts counts the restarts in a row after which the holder's instance went
+	// on under the same fencing token.
+	Restarts int `json:",omitempty"`
 	// Settled is set if the lease was given back and no call that was sent under
 	// it can arrive any more.
 	Settled bool `json:",omitempty"`
