edge: a stored part never replaces the text of an owned job

Beside it: completed results with an empty score after a lost answer of the store.

Cause: after a conflict an owner reads the chunk that is in the store, another owner's or its own. addStoredPart put its parts into texts of which no run had been started here; those that were taken over from an earlier step have none. The reducer had the item as done and listed what was left; the score went the same way.

Change: once a job is owned, a part only begins an empty text, and tells what is saved. And one place decides what is completed: a chunk holds an item as completed only if its content is complete and has its score; others are logged and run again.

Evidence: TestShorterPartOfAnotherOwnerIsNotListed and TestOwnPartReadBackKeepsScore fail with the former condition, TestIncompleteOutputIsNotListed without the check.

--- a/internal/batch/chain.go
+++ b/internal/batch/chain.go
@@ -137,6 +137,11 @@
 		return
 	}
 	j.Writing = false
+	for _, i := range e.Unready {
+		if i < len(j.Items) && j.Items[i].Phase == done {
+			j.Items[i].Phase = waiting
+		}
+	}
 	switch e.Result {
 	case op.Done, op.Conflict:
 		j.SaveWanted = j.SaveWanted || e.Shortened
--- /dev/null
+++ b/internal/edge/adopt_test.go
@@ -0,0 +1,126 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+
+	"github.com/catkinhead/catkinhead/internal/op"
+	"github.com/catkinhead/catkinhead/pkg/unit"
+)
+
+// wholeText is the complete output of an item, as an earlier job of the series
+// had it.
+const wholeText = "a whole text"
+
+// ownReusedJob makes the instance the owner of the test job under an epoch, with
+// texts of an earlier job.
+func ownReusedJob(p *Process, epoch unit.Epoch, texts []keptText) *jobContent {
+	c := newJobContent(jobRecord{Route: "r", Pool: "p"}, testItems(2))
+	c.epoch = epoch
+	c.reuseTexts(texts)
+	p.contents.put(testJob, c)
+	gained := op.JobOwnershipGained{Shape: c.shape(), Epoch: epoch, Saved: c.lastKeptEvents()}
+	gained.Whole, gained.Scored = c.wholeItems()
+	p.apply(gained)
+	return c
+}
+
+// put stores an object of a test.
+func (m *memoryStore) put(t *testing.T, key string, value any) {
+	t.Helper()
+	raw, err := json.Marshal(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := m.Put(context.Background(), key, raw, 0); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestShorterPartOfAnotherOwnerIsNotListed guards against a result that is listed as
+// completed with a text that is cut short (MIXED): a complete text of an earlier job
+// was replaced by a part of it that another owner stored.
+func TestShorterPartOfAnotherOwnerIsNotListed(t *testing.T) {
+	p, store, storeBack := aheadProcess(t)
+	storeBack()
+	store.put(t, chunkKey(testJob, 0), chunkRecord{Owner: "b", Epoch: 2, Parts: []partRecord{
+		{ID: "i0", Line: "b#1/1", Events: []string{"a"}, Versions: []unit.Version{1}},
+		{ID: "i1", Line: "b#1/2", Events: []string{"a"}, Versions: []unit.Version{1}},
+	}})
+	ownReusedJob(p, aheadEpoch, []keptText{{ID: "i0", Whole: true, Events: []string{wholeText}}, {ID: "i1", Whole: true, Events: []string{wholeText}}})
+	eventually(t, "both results are listed", func() bool {
+		chunk, ok := store.chunkAt(2)
+		return ok && len(chunk.Results) == 2
+	})
+	chunk, _ := store.chunkAt(2)
+	for _, r := range chunk.Results {
+		if r.Text != wholeText {
+			t.Errorf("item %s is listed with the text %q", r.ID, r.Text)
+		}
+	}
+}
+
+// TestOwnPartReadBackKeepsScore guards against a result without its score: the
+// answer to a write was lost, and the owner's own part, which it read back, replaced
+// the text that it had taken over.
+func TestOwnPartReadBackKeepsScore(t *testing.T) {
+	c := scoredJob("s0")
+	c.reuseTexts([]keptText{{ID: "i0", Whole: true, Events: []string{wholeText}, Line: "b#1/1", Score: "x", Reward: "s0"}})
+	c.epoch = 2
+	chunk := builtChunk(c, op.AppendChunk{Save: true})
+	if len(chunk.Parts) != 1 {
+		t.Fatalf("parts to save: %+v", chunk.Parts)
+	}
+	c.addChunk(0, roundTrip(t, chunk))
+	if got := c.texts[0]; got.score != "x" || !got.whole || got.savedEvents != 1 {
+		t.Errorf("text after the read: %+v", got)
+	}
+}
+
+// TestIncompleteOutputIsNotListed guards against a result that is listed as completed
+// although its text or its score is missing, whatever the reducer believes.
+func TestIncompleteOutputIsNotListed(t *testing.T) {
+	tests := map[string]struct {
+		text  itemText
+		ready bool
+	}{
+		"complete":         {itemText{events: []string{"a"}, whole: true, score: "x"}, true},
+		"without score":    {itemText{events: []string{"a"}, whole: true}, false},
+		"without last one": {itemText{events: []string{"a"}, score: "x"}, false},
+		"without text":     {itemText{lastEvent: -1}, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := scoredJob("s0")
+			c.texts[0] = tt.text
+			chunk, unready := c.buildChunk(op.AppendChunk{Done: []int{0}})
+			if ready := len(chunk.Results) == 1 && len(unready) == 0; ready != tt.ready || len(chunk.Results)+len(unready) != 1 {
+				t.Errorf("listed %+v, not ready %v", chunk.Results, unready)
+			}
+		})
+	}
+}
+
+// TestItemThatIsNotReadyRunsAgain checks that an item that could not be listed is
+// run again and listed then.
+func TestItemThatIsNotReadyRunsAgain(t *testing.T) {
+	p, store, storeBack := aheadProcess(t)
+	storeBack()
+	c := newJobContent(jobRecord{Route: "r", Pool: "p"}, testItems(2))
+	c.epoch = 1
+	p.contents.put(testJob, c)
+	p.apply(op.JobOwnershipGained{Shape: c.shape(), Epoch: 1, Whole: []int{1}})
+	eventually(t, "both results are listed", func() bool {
+		n := 0
+		for k := range 4 {
+			chunk, _ := store.chunkAt(k)
+			for _, r := range chunk.Results {
+				if r.Text == "text" {
+					n++
+				}
+			}
+		}
+		return n == 2
+	})
+}
--- a/internal/edge/chunks.go
+++ b/internal/edge/chunks.go
@@ -19,7 +19,7 @@
 	event, err := p.storeChunk(ctx, e)
 	if err != nil {
 		p.log.WithFields(logrus.Fields{"Job": e.Job, "Chunk": e.Chunk, "Error": err.Error()}).Warn("results not stored")
-		event = op.ChunkAppended{Job: e.Job, Chunk: e.Chunk, Result: op.Lost}
+		event = op.ChunkAppended{Job: e.Job, Chunk: e.Chunk, Result: op.Lost, Unready: event.Unready}
 	}
 	p.apply(event)
 }
@@ -28,9 +28,12 @@
 func (p *Process) storeChunk(ctx context.Context, e op.AppendChunk) (op.ChunkAppended, error) {
 	event := op.ChunkAppended{Job: e.Job, Chunk: e.Chunk, Result: op.Done}
 	var chunk chunkRecord
-	if !p.contents.withJob(e.Job, func(c *jobContent) { chunk = c.buildChunk(e) }) {
+	if !p.contents.withJob(e.Job, func(c *jobContent) { chunk, event.Unready = c.buildChunk(e) }) {
 		return event, errors.New("job content is no longer held")
 	}
+	if len(event.Unready) > 0 {
+		p.log.WithFields(logrus.Fields{"Job": e.Job, "Chunk": e.Chunk, "Items": event.Unready}).Error("items without a complete output are not listed")
+	}
 	chunk, event.Shortened = fitChunk(chunk)
 	chunk.Owner = p.environment.Instance
 	value, err := json.Marshal(chunk)
--- a/internal/edge/content.go
+++ b/internal/edge/content.go
@@ -242,16 +242,35 @@
 	return shape, true
 }
 
-// addStoredPart adds a stored part to an item's text. It ignores parts of items
-// that this instance has run, and parts that do not continue the text.
+// addStoredPart adds a stored part to an item's text. Once this instance owns the
+// job, the text is that of this instance: a part that another owner stored, or that
+// this one reads back, never replaces any of it. It then only begins a text that is
+// empty, and tells what is saved.
 func (j *jobContent) addStoredPart(part partRecord) {
 	i, ok := j.index[part.ID]
-	if !ok || j.listed[i] || j.texts[i].run != 0 {
+	if !ok || j.listed[i] {
 		return
 	}
 	t := &j.texts[i]
+	if t.run == 0 && (!j.owned() || t.empty()) {
+		t.readPart(part)
+		return
+	}
+	t.markSaved(part)
+}
+
+// owned reports whether this instance owns the job. Before that, its chunks are
+// being read.
+func (j *jobContent) owned() bool { return j.epoch > 0 }
+
+// empty reports whether the text has no event yet.
+func (t *itemText) empty() bool { return len(t.events) == 0 && !t.whole }
+
+// readPart adds a part that was read from the store. A part from the start replaces
+// the text; any other one must continue it.
+func (t *itemText) readPart(part partRecord) {
 	if part.From == 0 {
-		*t = itemText{lineage: part.Line}
+		*t = itemText{lineage: part.Line, lastEvent: -1}
 	}
 	if part.From != len(t.events) || part.Line != t.lineage {
 		return
@@ -260,6 +279,14 @@
 	t.versions, t.lastEvent, t.savedEvents, t.whole = part.Versions, part.Last, len(t.events), part.Whole
 }
 
+// markSaved records that a part of this text has been stored.
+func (t *itemText) markSaved(part partRecord) {
+	end := part.From + len(part.Events)
+	if part.Line == t.lineage && part.From == t.savedEvents && end <= len(t.events) {
+		t.savedEvents = end
+	}
+}
+
 // unsavedParts returns the unsaved events of each item that has at least
 // minEvents of them.
 func (j *jobContent) unsavedParts(minEvents int) []partRecord {
@@ -291,8 +318,8 @@
 // markSaved records that the parts of a chunk have been stored.
 func (j *jobContent) markSaved(parts []partRecord) {
 	for _, part := range parts {
-		if i, ok := j.index[part.ID]; ok && j.texts[i].savedEvents == part.From && len(j.texts[i].events) >= part.From+len(part.Events) {
-			j.texts[i].savedEvents = part.From + len(part.Events)
+		if i, ok := j.index[part.ID]; ok {
+			j.texts[i].markSaved(part)
 		}
 	}
 }
@@ -335,9 +362,15 @@
 // buildChunk builds the record of the chunk that an effect asks for. It holds
 // results, and unsaved events of other items if there are enough of them or
 // e.Save is set. The final chunk of a job holds no events of unfinished items.
-func (j *jobContent) buildChunk(e op.AppendChunk) chunkRecord {
-	c := chunkRecord{Ended: e.Ended, Epoch: e.Epoch}
+// unready are the items of e.Done that are left out since their output is not
+// complete here.
+func (j *jobContent) buildChunk(e op.AppendChunk) (c chunkRecord, unready []int) {
+	c = chunkRecord{Ended: e.Ended, Epoch: e.Epoch}
 	for _, i := range e.Done {
+		if !j.ready(i) {
+			unready = append(unready, i)
+			continue
+		}
 		t := &j.texts[i]
 		c.Results = append(c.Results, platform.Result{
 			ID: j.job.Items[i].ID, Text: strings.Join(t.events, "\n"), Versions: t.versions, Score: t.score,
@@ -357,7 +390,14 @@
 	if !e.Ended {
 		c.Parts = slices.DeleteFunc(j.unsavedParts(minEvents), func(part partRecord) bool { return done[part.ID] })
 	}
-	return c
+	return c, unready
+}
+
+// ready reports whether an item's output is complete, with its score if the item has
+// a reward call.
+func (j *jobContent) ready(item int) bool {
+	t := &j.texts[item]
+	return t.whole && (t.score != "" || j.job.Items[item].Reward == nil)
 }
 
 // shape returns the part of the job that the reducer needs: everything but the
--- a/internal/edge/content_test.go
+++ b/internal/edge/content_test.go
@@ -30,6 +30,12 @@
 	return out
 }
 
+// builtChunk returns the chunk that an effect asks for.
+func builtChunk(c *jobContent, e op.AppendChunk) chunkRecord {
+	chunk, _ := c.buildChunk(e)
+	return chunk
+}
+
 // addTestEvents adds events to an item's text as a run does.
 func addTestEvents(c *jobContent, item int, line string, events ...string) {
 	t := &c.texts[item]
@@ -56,10 +62,10 @@
 func TestNewOwnerResumesFromStoredEvents(t *testing.T) {
 	owner := newTestContent()
 	addTestEvents(owner, 0, "a/1", "one", "two")
-	firstChunk := roundTrip(t, owner.buildChunk(op.AppendChunk{Save: true}))
+	firstChunk := roundTrip(t, builtChunk(owner, op.AppendChunk{Save: true}))
 	owner.markSaved(firstChunk.Parts)
 	addTestEvents(owner, 0, "a/1", "three")
-	secondChunk := roundTrip(t, owner.buildChunk(op.AppendChunk{Save: true}))
+	secondChunk := roundTrip(t, builtChunk(owner, op.AppendChunk{Save: true}))
 	if len(secondChunk.Parts) != 1 || len(secondChunk.Parts[0].Events) != 1 {
 		t.Errorf("second write contains %+v", secondChunk.Parts)
 	}
@@ -101,13 +107,14 @@
 func TestShortPartsAreNotWritten(t *testing.T) {
 	c := newTestContent()
 	addTestEvents(c, 0, "a/1", "one")
-	if parts := c.buildChunk(op.AppendChunk{}).Parts; len(parts) != 0 {
+	if parts := builtChunk(c, op.AppendChunk{}).Parts; len(parts) != 0 {
 		t.Errorf("wrote %v", parts)
 	}
 	if c.hasUnsavedParts(minSaveEvents) || !c.hasUnsavedParts(1) {
 		t.Error("wrong number of unsaved events")
 	}
-	if chunk := c.buildChunk(op.AppendChunk{Done: []int{0}, Save: true}); len(chunk.Parts) != 0 {
+	c.texts[0].whole = true
+	if chunk := builtChunk(c, op.AppendChunk{Done: []int{0}, Save: true}); len(chunk.Parts) != 0 {
 		t.Errorf("parts of a finished item were written: %+v", chunk)
 	}
 }
--- a/internal/edge/ownership_test.go
+++ b/internal/edge/ownership_test.go
@@ -79,12 +79,12 @@
 // ownNewJob.
 func (s *simulation) ownJob(o *owner, epoch unit.Epoch) {
 	c := newJobContent(jobRecord{Route: "r", Pool: "p"}, testItems(2))
-	c.epoch, c.claimed = epoch, epoch == 1
 	var shapes []op.ChunkShape
 	for n, chunk := range s.chunks {
 		shape, _ := c.addChunk(n, chunk)
 		shapes = append(shapes, shape)
 	}
+	c.epoch, c.claimed = epoch, epoch == 1
 	if o.contents.put(testJob, c) {
 		s.apply(o, op.JobOwnershipGained{Shape: c.shape(), Epoch: epoch, Chunks: shapes})
 	}
@@ -125,7 +125,7 @@
 	o.runs = o.runs[1:]
 	o.contents.withJob(e.Job, func(c *jobContent) {
 		if t := &c.texts[e.Item]; t.run == e.Run {
-			t.events, t.versions, t.lastEvent = []string{"x"}, []unit.Version{1}, 0
+			t.events, t.versions, t.lastEvent, t.whole = []string{"x"}, []unit.Version{1}, 0, true
 		}
 	})
 	s.apply(o, op.ItemRunEnded{Job: e.Job, Item: e.Item, Run: e.Run, Target: e.Target, End: op.ItemComplete, Last: 0})
@@ -154,11 +154,11 @@
 	e := o.appends[0]
 	o.appends = o.appends[1:]
 	var chunk chunkRecord
-	if !o.contents.withJob(e.Job, func(c *jobContent) { chunk = c.buildChunk(e) }) {
+	event := op.ChunkAppended{Job: e.Job, Chunk: e.Chunk, Result: op.Done}
+	if !o.contents.withJob(e.Job, func(c *jobContent) { chunk, event.Unready = c.buildChunk(e) }) {
 		return true
 	}
 	chunk.Owner = o.name
-	event := op.ChunkAppended{Job: e.Job, Chunk: e.Chunk, Result: op.Done}
 	switch {
 	case outcome == appliedLate:
 		s.lateWrites = append(s.lateWrites, lateWrite{e.Chunk, chunk})
@@ -168,7 +168,7 @@
 		}
 	}
 	if outcome != answered {
-		s.apply(o, op.ChunkAppended{Job: e.Job, Chunk: e.Chunk, Result: op.Lost})
+		s.apply(o, op.ChunkAppended{Job: e.Job, Chunk: e.Chunk, Result: op.Lost, Unready: event.Unready})
 		return true
 	}
 	next := false
--- a/internal/edge/reuse_test.go
+++ b/internal/edge/reuse_test.go
@@ -24,7 +24,7 @@
 	if kept := later.lastKeptEvents(); len(kept) != 1 || kept[1] != 1 {
 		t.Errorf("last kept events: %v", kept)
 	}
-	c := later.buildChunk(op.AppendChunk{Done: []int{0}})
+	c := builtChunk(later, op.AppendChunk{Done: []int{0}})
 	if len(c.Results) != 1 || c.Results[0].Text != "all of it" || c.Results[0].Versions[0] != 3 {
 		t.Errorf("listed as %+v", c.Results)
 	}
--- a/internal/edge/reward_test.go
+++ b/internal/edge/reward_test.go
@@ -142,7 +142,7 @@
 	if fmt.Sprint(whole, scored) != "[0 1 2] [0]" {
 		t.Errorf("complete %v, scored %v", whole, scored)
 	}
-	if r := later.buildChunk(op.AppendChunk{Done: []int{0}}).Results[0]; r.Score != "x" {
+	if r := builtChunk(later, op.AppendChunk{Done: []int{0}}).Results[0]; r.Score != "x" {
 		t.Errorf("listed as %+v", r)
 	}
 }
@@ -151,7 +151,7 @@
 	first := scoredJob("s0")
 	addTestEvents(first, 0, "a/1", "one", "two")
 	first.texts[0].whole = true
-	chunk := first.buildChunk(op.AppendChunk{Save: true})
+	chunk := builtChunk(first, op.AppendChunk{Save: true})
 	second := scoredJob("s0")
 	second.addChunk(0, chunk)
 	whole, scored := second.wholeItems()
--- a/internal/op/job_event.go
+++ b/internal/op/job_event.go
@@ -159,6 +159,9 @@
 	// Shortened is set if the chunk did not have room for all that AppendChunk asked
 	// for. The rest is still to be written.
 	Shortened bool
+	// Unready are the items that AppendChunk asked for although their output is not
+	// complete. They are not in the chunk.
+	Unready []int
 }
 
 // EndRequested means that a caller has asked to end a job. JobEnded with the
