edge: a run begins where the item's text ends

Cause: the reducer tells a run after which event it resumes. A part that is read from the store after a conflict may have begun the text meanwhile. Each run then begins at another place than the text ends, its first event is refused, and the next run begins there too.

Change: the run takes its place from the content, in the step that makes it the only one that may add events; if the text is complete, it ends at once.

Evidence: TestRunBeginsWhereTheTextEnds fails without it ("not within two seconds: the item is listed").

--- a/internal/edge/adopt_test.go
+++ b/internal/edge/adopt_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
+	"sync/atomic"
 	"testing"
 
 	"github.com/catkinhead/catkinhead/internal/op"
+	"github.com/catkinhead/catkinhead/pkg/platform"
 	"github.com/catkinhead/catkinhead/pkg/unit"
 )
 
@@ -124,3 +127,59 @@
 		return n == 2
 	})
 }
+
+// TestRunBeginsWhereTheTextEnds guards against an item that can never be run (LOST): a
+// late write of a dead owner begins its text, and the reducer, which does not know
+// that, starts each run at another place.
+func TestRunBeginsWhereTheTextEnds(t *testing.T) {
+	tests := map[string]struct {
+		part partRecord
+		want string
+	}{
+		"begun":    {partRecord{ID: "i0", Line: "b#1/1", Events: []string{"first"}, Last: 0, Versions: []unit.Version{1}}, "first\nnext"},
+		"complete": {partRecord{ID: "i0", Line: "b#1/1", Events: []string{"first", "last"}, Last: 1, Versions: []unit.Version{1}, Whole: true}, "first\nlast"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			p, store, storeBack := aheadProcess(t)
+			p.deps.Backends = &resumingBackends{}
+			storeBack()
+			c := newJobContent(jobRecord{Route: "r", Pool: "p"}, testItems(1))
+			c.epoch = 2
+			c.addStoredPart(tt.part)
+			p.contents.put(testJob, c)
+			p.apply(op.JobOwnershipGained{Shape: c.shape(), Epoch: 2})
+			eventually(t, "the item is listed", func() bool {
+				chunk, ok := store.chunkAt(1)
+				return ok && len(chunk.Results) == 1 && chunk.Results[0].Text == tt.want
+			})
+		})
+	}
+}
+
+// resumingBackends answers an item with the one event that follows the last one.
+type resumingBackends struct {
+	oneEventBackends
+	after atomic.Int64
+}
+
+func (b *resumingBackends) Do(ctx context.Context, o platform.TargetRequest) (*platform.Reply, error) {
+	b.after.Store(o.After)
+	return b.oneEventBackends.Do(ctx, o)
+}
+
+func (b *resumingBackends) Events(io.Reader) platform.Events {
+	return &nextEvent{id: b.after.Load() + 1}
+}
+
+// nextEvent is a stream of the event with an ID.
+type nextEvent struct {
+	oneEvent
+	id int64
+}
+
+func (e *nextEvent) Next() (platform.Event, error) {
+	ev, err := e.oneEvent.Next()
+	ev.ID, ev.Data = e.id, []byte("next")
+	return ev, err
+}
--- a/internal/edge/content.go
+++ b/internal/edge/content.go
@@ -259,6 +259,16 @@
 	t.markSaved(part)
 }
 
+// beginRun makes a run the only one that may add events to an item's text. It
+// returns the ID of the text's last event, and whether the text is complete. The
+// content decides where a run begins, since parts that are read from the store may
+// have begun the text.
+func (j *jobContent) beginRun(item int, run int64) (after int64, whole bool) {
+	t := &j.texts[item]
+	t.run = run
+	return t.lastEvent, t.whole
+}
+
 // owned reports whether this instance owns the job. Before that, its chunks are
 // being read.
 func (j *jobContent) owned() bool { return j.epoch > 0 }
--- a/internal/edge/items.go
+++ b/internal/edge/items.go
@@ -60,10 +60,19 @@
 // errRunReplaced ends a run after another run of the same item has started.
 var errRunReplaced = errors.New("another run of the item has started")
 
-// runItem starts a run of an item at a target.
+// runItem starts a run of an item at a target. If the text is complete already, the
+// run ends at once.
 func (p *Process) runItem(e op.RunItem) {
-	p.contents.withJob(e.Job, func(c *jobContent) { c.texts[e.Item].run = e.Run })
-	p.startRun(e.Run, func(ctx context.Context, cancel func()) { p.executeRun(ctx, cancel, e) })
+	whole := false
+	p.contents.withJob(e.Job, func(c *jobContent) { e.After, whole = c.beginRun(e.Item, e.Run) })
+	p.startRun(e.Run, func(ctx context.Context, cancel func()) {
+		if whole {
+			p.log.WithFields(logrus.Fields{"Job": e.Job, "Item": e.Item, "Run": e.Run}).Info("item not run: its output is complete")
+			p.apply(op.ItemRunEnded{Job: e.Job, Item: e.Item, Run: e.Run, Target: e.Target, End: op.ItemComplete, Last: e.After})
+			return
+		}
+		p.executeRun(ctx, cancel, e)
+	})
 }
 
 // startRun calls f in a goroutine, with a context that ends with the process, or
--- a/internal/op/edge_effect.go
+++ b/internal/op/edge_effect.go
@@ -68,8 +68,9 @@
 	MinVersion unit.Version
 	// SingleVersion is set if one model version must produce the whole output.
 	SingleVersion bool
-	// After is the ID (platform.Event.ID) of the last output event that this
-	// instance has, -1 for none; the target resumes after it.
+	// After is the ID (platform.Event.ID) of the last output event that is known to
+	// the reducer, -1 for none. The run resumes after the last one that this
+	// instance holds.
 	After int64
 	// Until is when the run times out at the latest.
 	Until clock.Millis
