edge: an owner that continues a text gives it a lineage of its own

Cause: parts of a text are joined if they have the same lineage, which named the run that made the first event. An owner that resumed a stored text went on under the former owner's lineage. If that owner's last write came late, both had stored other events under the same positions and the same lineage, and a third owner joined them.

Change: with the first event that an instance adds to a text it took over, the text gets a lineage of its own and is stored again from the start. Parts under another one are not joined. The price is the text's bytes once more for each owner.

Evidence: TestLateWriteOfFormerOwnerIsNotJoined; without the change the third owner has "0 a1 a2 b3", where b3 is of another run than a2.

--- a/internal/edge/adopt_test.go
+++ b/internal/edge/adopt_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -157,6 +158,46 @@
 	}
 }
 
+// TestLateWriteOfFormerOwnerIsNotJoined guards against a text that joins events of two
+// runs (ORDER): an owner continues the text of a dead one, whose late write of other
+// events under the same positions comes between, and a third owner reads both.
+func TestLateWriteOfFormerOwnerIsNotJoined(t *testing.T) {
+	first := chunkRecord{Owner: "a", Parts: []partRecord{{ID: "i0", Line: "a#1/1", Events: []string{"0"}, Last: 0}}}
+	late := chunkRecord{Owner: "a", Parts: []partRecord{{ID: "i0", Line: "a#1/1", From: 1, Events: []string{"a1", "a2"}, Last: 2}}}
+
+	p := testProcess(&memoryStore{})
+	p.state.Self = "b#1"
+	second := newJobContent(jobRecord{}, testItems(1))
+	second.addChunk(0, first)
+	second.epoch = 2
+	p.contents.put(testJob, second)
+	after, _ := second.beginRun(0, 7)
+	r := &run{p: p, e: op.RunItem{Job: testJob, Run: 7}, lastEvent: after, eventCount: 1}
+	keep := func(id int64, data string) {
+		if err := r.keepEvent(platform.Event{ID: id, Data: []byte(data)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	keep(1, "b1")
+	keep(2, "b2")
+	second.addChunk(1, late)
+	chunks := []chunkRecord{first, late, builtChunk(second, op.AppendChunk{Save: true})}
+	second.markSaved(chunks[2].Parts)
+	keep(3, "b3")
+	chunks = append(chunks, builtChunk(second, op.AppendChunk{Save: true}))
+
+	for n := range chunks {
+		third := newJobContent(jobRecord{}, testItems(1))
+		for k, chunk := range chunks[:n+1] {
+			third.addChunk(k, roundTrip(t, chunk))
+		}
+		got := strings.Join(third.texts[0].events, " ")
+		if want := []string{"0", "0 a1 a2", "0 b1 b2", "0 b1 b2 b3"}[n]; got != want {
+			t.Errorf("text of a third owner after %d chunks is %q, want %q", n+1, got, want)
+		}
+	}
+}
+
 // resumingBackends answers an item with the one event that follows the last one.
 type resumingBackends struct {
 	oneEventBackends
--- a/internal/edge/content.go
+++ b/internal/edge/content.go
@@ -70,10 +70,12 @@
 	score string
 	// savedEvents counts the events that are in the store.
 	savedEvents int
-	// lineage identifies the run that made the first event. Parts are joined into
-	// one text only if their lineage is the same, that is, if each run resumed
-	// from the one before.
-	lineage string
+	// lineage identifies the owner's run that was the first to add an event to the
+	// text while the owner had it. Parts are joined into one text only if their
+	// lineage is the same. continued is set once the lineage is that of a run of this
+	// instance.
+	lineage   string
+	continued bool
 }
 
 // jobRecord is a job as it is stored.
@@ -269,6 +271,13 @@
 	return t.lastEvent, t.whole
 }
 
+// startLineage gives the text a lineage of its own, before the first event that a run
+// of this instance adds. The text is then stored again from the start: a late write of
+// its former owner may go on with other events under the former lineage.
+func (t *itemText) startLineage(lineage string) {
+	t.lineage, t.continued, t.savedEvents = lineage, true, 0
+}
+
 // owned reports whether this instance owns the job. Before that, its chunks are
 // being read.
 func (j *jobContent) owned() bool { return j.epoch > 0 }
--- a/internal/edge/items.go
+++ b/internal/edge/items.go
@@ -305,8 +305,8 @@
 			err = errMixedVersions
 			return
 		}
-		if len(t.events) == 0 {
-			t.lineage = fmt.Sprintf("%s/%d", r.p.state.Self, r.e.Run)
+		if !t.continued {
+			t.startLineage(fmt.Sprintf("%s/%d", r.p.state.Self, r.e.Run))
 		}
 		if t.size += len(ev.Data) + eventOverhead; t.size > maxTextBytes {
 			err = platform.ErrTooLong
