edge: a step gets copies of the texts that it takes over

Cause: keptTexts handed the slices of the earlier job's text to the new one. As long as the earlier step is open its runs go on, and both runs append to one array: each overwrites the other's events until the array has to grow. The same for versions.

Change: keptTexts returns copies. Other texts that leave the content's lock were looked at: those of chunks and results are only read, and their length is fixed.

--- a/internal/edge/reuse.go
+++ b/internal/edge/reuse.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 	"time"
 
@@ -67,9 +68,9 @@
 	return unit.Series(xxhash.Sum64String(key))
 }
 
-// keptTexts returns the job's texts of some items. It leaves out items that
-// were given up, and texts of which any part was made by a version older than
-// minVersion.
+// keptTexts returns copies of the job's texts of some items: runs of this job may
+// still add to its own. It leaves out items that were given up, and texts of which any
+// part was made by a version older than minVersion.
 func (j *jobContent) keptTexts(items []string, minVersion unit.Version) []keptText {
 	results := make(map[string]platform.Result, len(j.results))
 	for _, r := range j.results {
@@ -82,7 +83,7 @@
 			continue
 		}
 		t := &j.texts[i]
-		kept := keptText{ID: id, Events: t.events, Versions: t.versions, Last: t.lastEvent, Line: t.lineage, Whole: t.whole, Score: t.score}
+		kept := keptText{ID: id, Events: slices.Clone(t.events), Versions: t.versions, Last: t.lastEvent, Line: t.lineage, Whole: t.whole, Score: t.score}
 		if r, ok := results[id]; ok {
 			kept = keptText{ID: id, Whole: !r.GivenUp, Events: []string{r.Text}, Versions: r.Versions, Score: r.Score}
 			if r.GivenUp {
@@ -92,6 +93,7 @@
 		if reward := j.job.Items[i].Reward; reward != nil {
 			kept.Reward = reward.ID
 		}
+		kept.Versions = slices.Clone(kept.Versions)
 		if len(kept.Events) > 0 && !anyOlder(kept.Versions, minVersion) {
 			out = append(out, kept)
 		}
--- a/internal/edge/reuse_test.go
+++ b/internal/edge/reuse_test.go
@@ -63,3 +63,27 @@
 		t.Error("not dropped in time")
 	}
 }
+
+// TestStepsShareNoMemoryOfTexts guards against texts that join events of two runs
+// (ORDER): while the end of a step hangs, its runs went on in the same arrays as those
+// of the next step, which had taken the texts over.
+func TestStepsShareNoMemoryOfTexts(t *testing.T) {
+	earlier := newJobContent(jobRecord{}, testItems(1))
+	addTestEvents(earlier, 0, "a/1", "one", "two", "three")
+	// An array with room for more is what appending leaves.
+	earlier.texts[0].events = append(earlier.texts[0].events, "")[:3]
+	earlier.texts[0].versions = append(make([]unit.Version, 0, 2), 3)
+	later := newJobContent(jobRecord{}, testItems(1))
+	later.reuseTexts(earlier.keptTexts([]string{"i0"}, 0))
+
+	for job, event := range map[*jobContent]string{earlier: "of the earlier", later: "of the later"} {
+		text := &job.texts[0]
+		text.events, text.versions = append(text.events, event), append(text.versions, unit.Version(len(event)))
+	}
+	for job, event := range map[*jobContent]string{earlier: "of the earlier", later: "of the later"} {
+		text := job.texts[0]
+		if text.events[3] != event || text.versions[1] != unit.Version(len(event)) {
+			t.Errorf("text is %q by versions %v, want the last event %q", text.events, text.versions, event)
+		}
+	}
+}
