batch, edge: items that a later step repeats run no more for the earlier one

Cause: nothing told the owner of the earlier step that the trainer had gone on.

Change: the owner that is asked for texts of items stops their runs in the earlier step, whether it has texts of them or not, and starts none. They stay open there, and are given up when the time of the step is over.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -119,6 +119,8 @@
 		s.chunkAppended(now, e, v, out)
 	case op.EndRequested:
 		s.endRequested(e, v, out)
+	case op.ItemsRepeated:
+		s.itemsRepeated(e, v, out)
 	case op.VersionReported:
 		if _, refused := s.Cooldowns[targetModel{e.Target, e.Model}]; !refused {
 			return
@@ -340,7 +342,8 @@
 	}
 	for i := range j.Items {
 		s.stopRun(j, i, v, out)
-		if p := j.Items[i].Phase; p == waiting || p == unscored {
+		switch j.Items[i].Phase {
+		case waiting, repeated, unscored:
 			j.Items[i].Phase = givenUp
 		}
 	}
--- a/internal/batch/chain.go
+++ b/internal/batch/chain.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 
 	"github.com/catkinhead/catkinhead/internal/op"
 	"github.com/catkinhead/catkinhead/pkg/clock"
@@ -110,7 +111,7 @@
 		it := &j.Items[i]
 		groups[it.Group] = true
 		switch it.Phase {
-		case waiting, running, unscored, scoring:
+		case waiting, running, repeated, unscored, scoring:
 			unfinished[it.Group] = true
 		case done, givenUp:
 			unlisted[it.Group] = true
@@ -202,6 +203,34 @@
 	}
 }
 
+// itemsRepeated stops the runs of items that a later job of the series runs. The
+// trainer has gone on, though the end of this job has not arrived: two targets would
+// work on the same request.
+func (s *State) itemsRepeated(e op.ItemsRepeated, v View, out *op.List) {
+	j := s.Jobs[e.Job]
+	if j == nil {
+		return
+	}
+	stopped, waited := 0, 0
+	for _, i := range e.Items {
+		switch it := &j.Items[i]; it.Phase {
+		case running:
+			s.stopRun(j, i, v, out)
+			it.Phase = repeated
+			stopped++
+		case waiting:
+			it.Phase = repeated
+			waited++
+		}
+	}
+	if stopped+waited == 0 {
+		return
+	}
+	out.Add(op.Note{Level: "info", Message: "items are run by a later job", Fields: map[string]string{
+		"Job": j.ID, "Stopped": strconv.Itoa(stopped), "Waiting": strconv.Itoa(waited),
+	}})
+}
+
 // endRequested handles a request to end a job: all runs are stopped, and the
 // caller is answered once the final chunk is stored.
 func (s *State) endRequested(e op.EndRequested, v View, out *op.List) {
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -14,6 +14,8 @@
 	waiting phase = iota
 	// running items have a run in flight at a target.
 	running
+	// repeated items are run by a later job of the series, and no more for this one.
+	repeated
 	// unscored items have their complete output. Their reward call has no attempt
 	// in flight.
 	unscored
--- a/internal/edge/reuse.go
+++ b/internal/edge/reuse.go
@@ -101,6 +101,17 @@
 	return out
 }
 
+// positions returns the positions of those of the items that the job has.
+func (j *jobContent) positions(items []string) []int {
+	var out []int
+	for _, id := range items {
+		if i, ok := j.index[id]; ok {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
 // anyOlder reports whether any of the versions is older than minVersion.
 func anyOlder(versions []unit.Version, minVersion unit.Version) bool {
 	for _, v := range versions {
@@ -209,10 +220,19 @@
 	return texts, nil
 }
 
-// localKeptTexts returns this instance's texts of items in an earlier job.
-// Before the job's claim is stored there are none: a former owner may still
-// list other texts for these items.
+// localKeptTexts returns this instance's texts of items in an earlier job, and stops
+// to run them there. Before the job's claim is stored there are none: a former owner
+// may still list other texts for these items.
 func (p *Process) localKeptTexts(job string, request keptRequest) (texts []keptText) {
+	repeated := op.ItemsRepeated{Job: job}
+	p.contents.withJob(job, func(c *jobContent) {
+		if c.record.Workspace == request.Workspace {
+			repeated.Items = c.positions(request.Items)
+		}
+	})
+	if len(repeated.Items) > 0 {
+		p.apply(repeated)
+	}
 	p.contents.withJob(job, func(c *jobContent) {
 		if c.record.Workspace == request.Workspace && (c.claimed || c.ended) {
 			texts = c.keptTexts(request.Items, request.MinVersion)
--- a/internal/op/edge_event.go
+++ b/internal/op/edge_event.go
@@ -188,6 +188,7 @@
 func (RewardCallEnded) event()      {}
 func (ChunkAppended) event()        {}
 func (EndRequested) event()         {}
+func (ItemsRepeated) event()        {}
 func (VersionOrdered) event()       {}
 func (CountsReceived) event()       {}
 func (CountsSealed) event()         {}
--- a/internal/op/job_event.go
+++ b/internal/op/job_event.go
@@ -164,6 +164,14 @@
 	Unready []int
 }
 
+// ItemsRepeated means that a later job of the series repeats items of a job and runs
+// them from now on.
+type ItemsRepeated struct {
+	Job string
+	// Items are their positions in the earlier job.
+	Items []int
+}
+
 // EndRequested means that a caller has asked to end a job. JobEnded with the
 // same Call answers it.
 type EndRequested struct {
