platform, link: nothing below the retry policy sends a request again

Cause: on a kept connection that ends without an answer, net/http sends a request without a body again by itself. The adapter had only cleared GetBody, and used kept connections for requests that may run once, against the design.

--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -196,7 +196,7 @@
 	reply, err := cr.p.deps.Backends.Do(ctx, platform.TargetRequest{
 		Attempt: cr.headers.Attempt, Target: e.Target, Address: e.Address, Method: cr.r.Method, Host: cr.r.Host,
 		URI: cr.r.RequestURI, Header: cr.r.Header, Body: cr.body, Workspace: e.Workspace,
-		Left: e.Deadline - sent, After: cr.headers.After,
+		Once: e.Once, Left: e.Deadline - sent, After: cr.headers.After,
 	})
 	if err == nil {
 		err = cr.forwardReply(reply, e.Streaming, &ended)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -190,7 +190,7 @@
 	v.Roster.AttemptStarted(t.Target)
 	out.Add(op.ForwardRequest{
 		Call: id, Route: c.rule.Name, Pool: c.pool, Target: t.Target, Address: t.Address,
-		Workspace: c.workspace, Attempt: len(c.tried), Streaming: c.rule.Streaming,
+		Workspace: c.workspace, Attempt: len(c.tried), Streaming: c.rule.Streaming, Once: c.rule.Repeat != platform.Idempotent,
 		Until: c.attemptDeadline(now), Deadline: c.deadline,
 	})
 }
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -77,6 +77,15 @@
 	}
 }
 
+// TestOnlyIdempotentRequestsMayBeRepeated checks what the adapter is told.
+func TestOnlyIdempotentRequestsMayBeRepeated(t *testing.T) {
+	for path, once := range map[string]bool{"/safe/x": false, "/once/x": true} {
+		if e, ok := ask(&State{}, view("a"), path, "k").(op.ForwardRequest); !ok || e.Once != once {
+			t.Errorf("%s: got %+v", path, e)
+		}
+	}
+}
+
 func TestJobSubmissionsAreAccepted(t *testing.T) {
 	if e, ok := ask(&State{}, view("a"), "/jobs/x", "k").(op.AcceptJob); !ok || e.Workspace != "w" {
 		t.Errorf("got %+v", e)
--- a/internal/op/edge_effect.go
+++ b/internal/op/edge_effect.go
@@ -21,6 +21,8 @@
 	Until, Deadline clock.Millis
 	// Streaming is set if the answer is to be forwarded as it arrives.
 	Streaming bool
+	// Once is set if the request may run at most once.
+	Once bool
 }
 
 // AcceptJob means that a request to submit a job is allowed: the runner decodes
--- a/pkg/platform/hosted.go
+++ b/pkg/platform/hosted.go
@@ -246,6 +246,8 @@
 	Header    http.Header
 	Body      []byte
 	Workspace unit.Workspace
+	// Once is set if the request may run at most once.
+	Once bool
 	// Left is the time until the target's deadline; 0 is no limit.
 	Left clock.Millis
 	// Version is the model version that the target must have; 0 for any.
--- a/pkg/platform/link/write_tracker.go
+++ b/pkg/platform/link/write_tracker.go
@@ -91,7 +91,7 @@
 // idlePerHost idle connections to each host; without keepAlive, each request gets
 // a new connection.
 func NewClient(idlePerHost int, keepAlive bool, total *atomic.Int64) *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{CheckRedirect: noRedirects, Transport: &http.Transport{
 		DialContext:         CountingDial(total),
 		MaxIdleConnsPerHost: idlePerHost,
 		MaxIdleConns:        2048,
