edge, link: an answer that is cut never looks whole, nor one over a limit

Cause: such an answer has no length and ends with its connection, which was closed after a break as after the end. Beside it, three readers cut bodies over their limit without an error: answers of a job's owner, and those of plain services and of the platform in catkinhead serve.

Change: AbortAnswer ends an answer over HTTP/1.0 with a reset.

--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -220,8 +219,12 @@
 		return jobAnswer{}
 	}
 	defer res.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxPeerAnswerBytes))
-	if err != nil || res.StatusCode == http.StatusGone {
+	body, err := link.ReadAll(res.Body, maxPeerAnswerBytes)
+	if err != nil {
+		p.log.WithFields(logrus.Fields{"Job": call.Job, "Owner": address, "Error": err.Error()}).Warn("answer of the owner is not complete")
+		return jobAnswer{}
+	}
+	if res.StatusCode == http.StatusGone {
 		return jobAnswer{}
 	}
 	return jobAnswer{status: res.StatusCode, body: body}
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/catkinhead/catkinhead/pkg/clock"
+	"github.com/catkinhead/catkinhead/pkg/platform/link"
 )
 
 const (
@@ -231,13 +232,14 @@
 		res, err := r.direct.RoundTrip(req)
 		if err != nil {
 			// The call may have taken effect, which no status would express.
-			panic(http.ErrAbortHandler)
+			link.AbortAnswer(w, in)
+			return
 		}
 		defer res.Body.Close()
 		w.Header().Set("Content-Type", "application/json")
 		w.WriteHeader(res.StatusCode)
 		if _, err := io.Copy(w, res.Body); err != nil {
-			panic(http.ErrAbortHandler)
+			link.AbortAnswer(w, in)
 		}
 	})
 }
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -15,6 +15,7 @@
 	"github.com/catkinhead/catkinhead/internal/op"
 	"github.com/catkinhead/catkinhead/pkg/clock"
 	"github.com/catkinhead/catkinhead/pkg/platform"
+	"github.com/catkinhead/catkinhead/pkg/platform/link"
 	"github.com/catkinhead/catkinhead/pkg/unit"
 )
 
@@ -151,8 +152,7 @@
 		ended := cr.attempt(e)
 		cr.p.apply(ended)
 		if ended.Begun && !ended.Whole && cr.r.Context().Err() == nil {
-			// Abort the caller's connection, so that the reply does not look complete.
-			panic(http.ErrAbortHandler)
+			link.AbortAnswer(cr.w, cr.r)
 		}
 		return cr.r.Context().Err() == nil && cr.noEffectQueued()
 	case op.AcceptJob:
--- a/pkg/platform/wire/client.go
+++ b/pkg/platform/wire/client.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -146,7 +145,7 @@
 		return newFailure(wrote, err)
 	}
 	defer res.Body.Close()
-	b, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes))
+	b, err := link.ReadAll(res.Body, maxResponseBytes)
 	if err != nil {
 		return newFailure(true, fmt.Errorf("read response: %w", err))
 	}
--- a/pkg/platform/wire/engine.go
+++ b/pkg/platform/wire/engine.go
@@ -129,7 +129,7 @@
 		return platform.Answer{}, connectionFailure(ctx, wrote, err)
 	}
 	defer res.Body.Close()
-	b, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes))
+	b, err := link.ReadAll(res.Body, maxResponseBytes)
 	if err != nil {
 		return platform.Answer{}, connectionFailure(ctx, true, fmt.Errorf("read response: %w", err))
 	}
