forward, edge: a stopping instance takes only what it can answer

Cause: the instance took requests until 5.5 s of 8 s after the signal, whatever they take, and left 2 s to those in flight. Callers on kept connections were not told to go elsewhere, so it was never idle before.

Change: the reducer refuses what may not be answered before the cut, now at 7.5 s; while the balancer still sends callers here, only what very likely is not, by the durations of the route's latest requests. The Retry-After is the time until the balancer sends nothing more. Answers end their connections. A stopping instance owns no new job.

Tests of the policy, the plan and the connections.

--- a/internal/cli/hosted.go
+++ b/internal/cli/hosted.go
@@ -43,18 +43,12 @@
 	// is below Go's default of 100, since memory is scarcer than processor time
 	// on small instances.
 	gcPercent = 40
-	// stopReserve is the part of the time between the stop signal and the kill
-	// that is reserved for closing the listeners. In it, requests that are still
-	// in flight have shutdownTimeout to finish.
-	stopReserve     = 2500 * time.Millisecond
-	shutdownTimeout = 2 * time.Second
+	// shutdownTimeout bounds the time for closing the listener for callers, in
+	// addition to the time in which requests are served.
+	shutdownTimeout = 200 * time.Millisecond
 	// stopPollInterval is the time between checks whether a stopping instance is
 	// idle.
 	stopPollInterval = 50 * time.Millisecond
-	// unreadyDelay is how long after the stop signal the load balancer may still
-	// send requests here: it checks readiness every second and may need two
-	// checks to notice.
-	unreadyDelay = 2500 * time.Millisecond
 )
 
 // hostedFlags are the settings of a hosted instance that come from flags; the
@@ -222,16 +216,15 @@
 	})
 }
 
-// stopHosted marks the instance as not ready, keeps serving requests that the
-// load balancer still sends, waits until all work is finished or handed over or
-// the time is up, and then closes the listener for callers.
+// stopHosted marks the instance as not ready, keeps serving the requests that can
+// still be answered, waits until all work is finished or handed over or the time is
+// up, and then closes the listener for callers.
 func stopHosted(ctx context.Context, environment base.Environment, front *http.Server, p *edge.Process, log *logrus.Logger) {
 	began := time.Now()
 	p.Drain()
-	limit := max(environment.Bounds.StopWithin-stopReserve, time.Second)
-	lag := min(unreadyDelay, limit/2)
-	for time.Since(began) < limit && ctx.Err() == nil {
-		if time.Since(began) >= lag && p.Idle() {
+	plan := edge.NewStopPlan(environment.Bounds)
+	for time.Since(began) < plan.Serve && ctx.Err() == nil {
+		if time.Since(began) >= plan.Unready && p.Idle() {
 			break
 		}
 		time.Sleep(stopPollInterval)
--- a/internal/edge/accept.go
+++ b/internal/edge/accept.go
@@ -60,7 +60,7 @@
 	ahead := stored != nil
 	switch {
 	case err == nil:
-		quick := write.tries == 1 && cr.p.clock.Now()-startedAt < directOwnTimeout
+		quick := write.tries == 1 && cr.p.clock.Now()-startedAt < directOwnTimeout && !cr.p.stopping.Load()
 		cr.answerAccepted(quick && write.created && !cr.p.runsAhead(job.ID), ahead, write)
 	case notRun(err) && !ahead && !cr.p.runsAhead(job.ID):
 		cr.log("job not stored", logrus.Fields{"Error": err.Error()})
@@ -90,7 +90,7 @@
 		cr.p.apply(op.StoredJobFound{Job: job.ID})
 	}
 	cr.w.Header().Set("Content-Length", "0")
-	cr.w.WriteHeader(http.StatusAccepted)
+	cr.writeStatus(http.StatusAccepted)
 	cr.p.observeDuration("catkinhead_request_seconds", "outcome", "JobAccepted", cr.startedAt)
 	cr.log("job accepted", logrus.Fields{
 		"Job": job.ID, "Step": job.Step, "Model": job.Model, "MinVersion": job.MinVersion, "Items": len(job.Items),
--- a/internal/edge/ahead.go
+++ b/internal/edge/ahead.go
@@ -36,11 +36,11 @@
 // runAhead starts the items of a job that could not be stored at the first
 // attempt, and goes on storing it for maxAheadTime. The channel is closed once the
 // job is stored. It is nil if the job is known to be stored, if this instance or a
-// peer runs it already, or if too many jobs run ahead.
+// peer runs it already, if this instance is stopping, or if too many jobs run ahead.
 func (p *Process) runAhead(ctx context.Context, w *jobWrite) <-chan struct{} {
 	known := false
 	p.withState(func(_ clock.Millis, s *State) { known = s.Heartbeats.Known(w.job.ID) })
-	if known || p.runsAhead(w.job.ID) || p.contents.countUnclaimed(aheadEpoch) >= maxAheadJobs {
+	if known || p.stopping.Load() || p.runsAhead(w.job.ID) || p.contents.countUnclaimed(aheadEpoch) >= maxAheadJobs {
 		return nil
 	}
 	c := newJobContent(w.record, w.job)
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -75,7 +75,10 @@
 	cancelVersionWatch context.CancelFunc
 	// activeRequests counts the callers' requests in progress.
 	activeRequests atomic.Int64
-	relay          *Relay
+	// stopping is set during the graceful shutdown. Answers then end their
+	// connections, so that callers go elsewhere with their next requests.
+	stopping atomic.Bool
+	relay    *Relay
 	// mirrors holds, by kind, the copies of stored objects that this instance
 	// serves to peers.
 	mirrors map[string]*mirror
@@ -241,6 +244,7 @@
 // Drain starts the graceful shutdown. Idle reports whether it is complete.
 func (p *Process) Drain() {
 	p.log.Info("planned stop begins")
+	p.stopping.Store(true)
 	p.apply(op.Drain{})
 }
 
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -172,7 +172,7 @@
 	h := cr.w.Header()
 	cr.p.deps.Ingress.SetResponseHeaders(h, cr.headers.Attempt, e.RetryAfter)
 	h.Set("Content-Length", "0")
-	cr.w.WriteHeader(e.Status)
+	cr.writeStatus(e.Status)
 	cr.p.observeDuration("catkinhead_request_seconds", "outcome", string(e.Reason), cr.startedAt)
 	cr.log("request refused", logrus.Fields{
 		"Status": e.Status, "Reason": e.Reason, "Outcome": e.Outcome.String(), "Route": e.Route,
@@ -276,7 +276,16 @@
 	if reply.Length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(reply.Length, 10))
 	}
-	cr.w.WriteHeader(reply.Status)
+	cr.writeStatus(reply.Status)
+}
+
+// writeStatus sends the status and the headers of an answer. During the graceful
+// shutdown the connection ends with the answer.
+func (cr *callerRequest) writeStatus(status int) {
+	if cr.p.stopping.Load() {
+		cr.w.Header().Set("Connection", "close")
+	}
+	cr.w.WriteHeader(status)
 }
 
 // streamBody forwards a body as it arrives. The error tells that the body broke
--- a/internal/edge/results.go
+++ b/internal/edge/results.go
@@ -47,7 +47,7 @@
 		h.Set("Content-Type", "application/json")
 	}
 	h.Set("Content-Length", fmt.Sprint(len(a.body)))
-	cr.w.WriteHeader(a.status)
+	cr.writeStatus(a.status)
 	if _, err := cr.w.Write(a.body); err != nil {
 		cr.log("answer not written", logrus.Fields{"Job": call.Job, "Error": err.Error()})
 	}
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -76,7 +76,9 @@
 	StoreDownAt clock.Millis
 	// WallAt is the Unix time of the local clock at TickAt, the last tick.
 	WallAt, TickAt clock.Millis
-	Draining       bool
+	// Draining is set during the graceful shutdown, which began at drainingSince.
+	Draining      bool
+	drainingSince clock.Millis
 	// startedAt is when the instance started. heartbeatSeq is the number of the
 	// last heartbeat, nextHeartbeatAt when the next one is due.
 	startedAt       clock.Millis
@@ -318,7 +320,7 @@
 // drain starts the graceful shutdown: it begins to release the lease and to hand
 // over the jobs, and tells the peers at once.
 func (s *State) drain(now clock.Millis, out *op.List) {
-	s.Draining = true
+	s.Draining, s.drainingSince = true, now
 	s.updateCandidacy(now)
 	s.Leases.Reduce(now, op.Tick{Wall: s.Wall(now)}, out)
 	s.Batch.Advance(now, s.batchView(), out)
--- a/internal/edge/views.go
+++ b/internal/edge/views.go
@@ -14,7 +14,7 @@
 func (s *State) forwardView(now clock.Millis) forward.View {
 	return forward.View{
 		Roster: &s.Roster, Table: s.Table, Fresh: s.KeysFresh(now), Age: s.Age(now), Metering: &s.Metering,
-		Wall: s.Wall(now), Crashes: s.crashes,
+		Wall: s.Wall(now), Crashes: s.crashes, Stop: s.stop(),
 	}
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -42,6 +42,7 @@
 type call struct {
 	rule      platform.RouteRule
 	workspace unit.Workspace
+	startedAt clock.Millis
 	// deadline is the earlier of the caller's deadline and the route's timeout.
 	deadline clock.Millis
 	// tried are the targets of all attempts, in order.
@@ -70,6 +71,8 @@
 	calls   map[op.CallID]*call
 	split   route.Splitter
 	crashes map[unit.Fingerprint]crashCount
+	// durations holds how long the latest requests of each route took.
+	durations map[unit.Route]*durations
 }
 
 // View is the state of other packages that decisions on requests depend on.
@@ -85,6 +88,8 @@
 	Metering *metering.State
 	// Wall is the Unix time.
 	Wall clock.Millis
+	// Stop is the graceful shutdown of this instance.
+	Stop Stop
 	// Crashes are the crash counts by fingerprint that the peers report.
 	Crashes map[unit.Fingerprint]int
 }
@@ -132,8 +137,15 @@
 		refuse(http.StatusUnauthorized, op.BadKey, 0)
 		return
 	}
+	jobCall := e.Batch && (!ok || rule.Repeat == platform.Batch || rule.PathPrefix == "/")
+	limit, expected := timeLimit(e.Head.Left, rule.Timeout), s.expectedDuration(rule.Name)
+	if jobCall || rule.Repeat == platform.Batch {
+		limit, expected = v.Stop.JobTime, v.Stop.JobTime
+	}
 	switch {
-	case e.Batch && (!ok || rule.Repeat == platform.Batch || rule.PathPrefix == "/"):
+	case !v.Stop.accepts(now, limit, expected):
+		v.Stop.refuse(now, e.Call, rule.Name, v, out)
+	case jobCall:
 		out.Add(op.ServeJobCall{Call: e.Call, Workspace: workspace})
 	case rule.Repeat == platform.Batch:
 		out.Add(op.AcceptJob{Call: e.Call, Rule: rule, Workspace: workspace})
@@ -155,7 +167,7 @@
 		})
 		return
 	}
-	c := &call{rule: rule, workspace: w, fingerprint: e.Fingerprint, deadline: now + timeLimit(e.Head.Left, rule.Timeout), pool: s.split.Pick(rule)}
+	c := &call{rule: rule, workspace: w, fingerprint: e.Fingerprint, startedAt: now, deadline: now + timeLimit(e.Head.Left, rule.Timeout), pool: s.split.Pick(rule)}
 	s.calls[e.Call] = c
 	s.dispatch(now, e.Call, c, v, out)
 }
@@ -223,6 +235,9 @@
 	if e.Outcome != unit.NotRun && !c.mayHaveRun {
 		v.Metering.CountRequest(v.Wall-(now-e.SentAt), c.workspace)
 	}
+	if e.Whole || now >= c.deadline {
+		s.recordDuration(now, c, v)
+	}
 	if e.Whole || e.Begun {
 		delete(s.calls, e.Call)
 		return
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -20,6 +20,7 @@
 		Routes: []platform.RouteRule{
 			{Name: "safe", Host: "h", PathPrefix: "/safe/", Repeat: platform.Idempotent, Timeout: 1000, MaxAttempts: 2, Split: []platform.WeightedPool{{Pool: "p", Weight: 1}}},
 			{Name: "once", Host: "h", PathPrefix: "/once/", Timeout: 1000, MaxAttempts: 3, Split: []platform.WeightedPool{{Pool: "p", Weight: 1}}},
+			{Name: "long", Host: "h", PathPrefix: "/long/", Timeout: 9000, MaxAttempts: 3, Split: []platform.WeightedPool{{Pool: "p", Weight: 1}}},
 			{Name: "open", Host: "h", PathPrefix: "/open/", Repeat: platform.Idempotent, Public: true, MaxAttempts: 1, Split: []platform.WeightedPool{{Pool: "p", Weight: 1}}},
 			{Name: "jobs", Host: "h", PathPrefix: "/jobs/", Repeat: platform.Batch, Split: []platform.WeightedPool{{Pool: "p", Weight: 1}}},
 		},
