decide, serve: a stopping instance refuses what ends after its shutdown

Change: once the drain lag is over, a request whose deadline is after the end of the shutdown is refused as not run, with a Retry-After, and answers end their connections from the signal on.

--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -49,6 +49,9 @@
 	WasFresh bool
 	// Draining is set once a graceful shutdown has begun.
 	Draining bool
+	// RefuseAt is when requests are refused that may not end before CutAt, the end of
+	// the graceful shutdown. CutAt is 0 if there is none.
+	RefuseAt, CutAt clock.Millis
 	// StandAt is when to decide next which leases this instance should try to
 	// acquire.
 	StandAt clock.Millis
@@ -127,7 +130,7 @@
 	case op.SwapSent, op.VersionsRead:
 		s.Steer.Reduce(now, ev, s.weightsView(now), out)
 	case op.Drain:
-		s.startDrain(now, out)
+		s.startDrain(now, e, out)
 	}
 }
 
@@ -234,8 +237,11 @@
 // startDrain begins a graceful shutdown: it releases the leases, drains the
 // steps, copies the usage counters to a peer and tells peers that this instance
 // is leaving.
-func (s *State) startDrain(now clock.Millis, out *op.List) {
+func (s *State) startDrain(now clock.Millis, e op.Drain, out *op.List) {
 	s.Draining = true
+	if e.CutAfter > 0 {
+		s.RefuseAt, s.CutAt = now+e.RefuseAfter, now+e.CutAfter
+	}
 	s.Members.Self.Leaving = true
 	s.updateLeaseCandidacy(now)
 	s.Leases.Reduce(now, op.Tick{Wall: s.Wall(now)}, out)
--- a/internal/decide/request.go
+++ b/internal/decide/request.go
@@ -12,6 +12,10 @@
 // neither the request nor its route sets a deadline.
 const defaultDeadline clock.Millis = 60 * clock.Second
 
+// retryAfterDraining is the Retry-After hint of a stopping instance: another one can
+// serve the request at once.
+const retryAfterDraining clock.Millis = 100
+
 // admitRequest checks a caller's request against its route and key, then
 // submits it for admission or refuses it.
 func (s *State) admitRequest(now clock.Millis, r op.Request, out *op.List) {
@@ -34,9 +38,19 @@
 			r.Deadline = now + clock.Millis(route.DeadlineMillis)
 		}
 	}
+	if s.endsTooLate(now, r.Deadline) {
+		out.Add(op.Refuse{Request: r.ID, Reason: op.Draining, Outcome: unit.NotRun, RetryAfter: retryAfter(op.Draining)})
+		return
+	}
 	s.Admit.Submit(now, r, out)
 }
 
+// endsTooLate reports whether a request with a deadline may be cut off by the graceful
+// shutdown, although the load balancer sends new ones to other instances already.
+func (s *State) endsTooLate(now, deadline clock.Millis) bool {
+	return s.CutAt > 0 && now >= s.RefuseAt && deadline > s.CutAt
+}
+
 // lookupRoute returns a route, or the reason why it cannot be used. The reason
 // is empty if it can.
 func (s *State) lookupRoute(name unit.Route) (spec.Route, op.Reason) {
@@ -70,8 +84,11 @@
 // retryAfter returns the delay suggested to a refused caller, or 0 if retrying
 // will not help.
 func retryAfter(why op.Reason) clock.Millis {
-	if why == op.NotFresh || why == op.NoConfig {
+	switch why {
+	case op.NotFresh, op.NoConfig:
 		return clock.Second
+	case op.Draining:
+		return retryAfterDraining
 	}
 	return 0
 }
--- a/internal/op/event.go
+++ b/internal/op/event.go
@@ -274,7 +274,11 @@
 }
 
 // Drain means that the graceful shutdown of this instance begins.
-type Drain struct{}
+type Drain struct {
+	// From RefuseAfter on, counted from now, requests are refused that may not end
+	// before CutAfter. Without a CutAfter, none is refused for that.
+	RefuseAfter, CutAfter clock.Millis `json:",omitempty"`
+}
 
 func (Tick) event()              {}
 func (Arrive) event()            {}
--- a/internal/serve/http.go
+++ b/internal/serve/http.go
@@ -30,7 +30,7 @@
 func (p *Process) Handler() http.Handler {
 	gin.SetMode(gin.ReleaseMode)
 	g := gin.New()
-	g.Use(gin.CustomRecoveryWithWriter(nil, p.handlePanic))
+	g.Use(gin.CustomRecoveryWithWriter(nil, p.handlePanic), p.endConnection)
 	g.POST("/v1/chat/completions", p.serveChatCompletion)
 	g.POST("/v1/completions", p.serveTextCompletion)
 	g.GET("/v1/models", p.models)
@@ -56,6 +56,13 @@
 	})
 }
 
+// endConnection makes an answer end its connection during the graceful shutdown.
+func (p *Process) endConnection(c *gin.Context) {
+	if p.stopping.Load() {
+		c.Header("Connection", "close")
+	}
+}
+
 // handlePanic answers a request whose handler panicked. http.ErrAbortHandler is
 // passed on to net/http.
 func (p *Process) handlePanic(c *gin.Context, err any) {
--- a/internal/serve/process.go
+++ b/internal/serve/process.go
@@ -75,6 +75,9 @@
 	// cacheMu guards it and the file.
 	cachedRevision unit.Revision
 	drainOnce      sync.Once
+	// stopping is set during the graceful shutdown. Answers then end their
+	// connections, so that callers go elsewhere with their next requests.
+	stopping atomic.Bool
 }
 
 // New returns a process that Run starts. The settings must have passed Check. New
@@ -147,7 +150,8 @@
 func (p *Process) Drain() {
 	p.drainOnce.Do(func() {
 		p.log.Info("planned stop begins")
-		p.loop.Post(op.Drain{})
+		p.stopping.Store(true)
+		p.loop.Post(op.Drain{RefuseAfter: clock.FromDuration(p.set.DrainLag), CutAfter: clock.FromDuration(p.set.DrainDeadline)})
 	})
 }
 
