forward: a request that goes on crashing its targets is tried ever less often

Cause: the count of crashes expired 20 s after the last one, and the next trial began a new count at the instance that made it.

Change: each crash beyond the third doubles the time, up to an hour. An instance remembers which contents the fleet's counts made suspect, so one more crash anywhere is enough. A request that is served clears both. Crash counts have a file of their own.

--- a/internal/edge/heartbeats.go
+++ b/internal/edge/heartbeats.go
@@ -85,6 +85,7 @@
 		}
 		offsets = append(offsets, p.WallOffset)
 	}
+	s.Forward.ObserveCrashes(now, s.crashes)
 	s.Roster.SetRemoteAttempts(running)
 	s.Roster.SetRemoteSlow(slow)
 	slices.Sort(offsets)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -21,18 +21,6 @@
 	// retryAfterStale is the Retry-After hint while the configuration is missing or
 	// stale: outages of the platform's store last for seconds.
 	retryAfterStale clock.Millis = 500
-	// crashLimit is the number of crashed targets after which requests with the
-	// same fingerprint are refused. Such a fingerprint is called suspect.
-	crashLimit = 3
-	// crashRetention is how long the crash count of a fingerprint is kept after the
-	// last crash.
-	crashRetention clock.Millis = 20 * clock.Second
-	// maxCrashEntries is the maximum number of fingerprints for which crashes are
-	// counted.
-	maxCrashEntries = 256
-	// retryAfterSuspect is the Retry-After hint for requests with a suspect
-	// fingerprint.
-	retryAfterSuspect clock.Millis = 10 * clock.Second
 	// answerMargin is the time reserved before a request's deadline to deliver the
 	// answer.
 	answerMargin clock.Millis = 20
@@ -58,19 +46,14 @@
 	fingerprint unit.Fingerprint
 }
 
-// crashCount counts the targets that requests with the same fingerprint seem to
-// have crashed.
-type crashCount struct {
-	count int
-	// lastAt is the time of the last crash.
-	lastAt clock.Millis
-}
-
 // State holds the requests in flight and the recent crashes.
 type State struct {
 	calls   map[op.CallID]*call
 	split   route.Splitter
 	crashes map[unit.Fingerprint]crashCount
+	// suspects maps fingerprints to when they were last known to be suspect in the
+	// fleet.
+	suspects map[unit.Fingerprint]clock.Millis
 	// durations holds how long the latest requests of each route took.
 	durations map[unit.Route]*durations
 }
@@ -228,7 +211,7 @@
 	v.Roster.AttemptEnded(now, e.Target, !e.Whole && e.Outcome != unit.NotRun || e.Leaving)
 	switch {
 	case e.Whole:
-		delete(s.crashes, c.fingerprint)
+		s.clearCrashes(c.fingerprint)
 	case e.Crashed:
 		s.recordCrash(now, c.fingerprint)
 	}
@@ -257,46 +240,6 @@
 	}
 }
 
-// suspect reports whether a fingerprint has reached the crash limit, including the
-// crashes that peers report.
-func (s *State) suspect(now clock.Millis, fingerprint unit.Fingerprint, v View) bool {
-	n := v.Crashes[fingerprint]
-	if c := s.crashes[fingerprint]; now <= c.lastAt+crashRetention {
-		n += c.count
-	}
-	return n >= crashLimit
-}
-
-// recordCrash counts a crash of a target for a fingerprint, and drops expired
-// counts.
-func (s *State) recordCrash(now clock.Millis, fingerprint unit.Fingerprint) {
-	if s.crashes == nil {
-		s.crashes = make(map[unit.Fingerprint]crashCount)
-	}
-	for f, c := range s.crashes {
-		if now > c.lastAt+crashRetention {
-			delete(s.crashes, f)
-		}
-	}
-	c, known := s.crashes[fingerprint]
-	if !known && len(s.crashes) >= maxCrashEntries {
-		return
-	}
-	s.crashes[fingerprint] = crashCount{c.count + 1, now}
-}
-
-// Crashes returns how many targets the requests with each fingerprint seem to have
-// crashed recently, as counted by this instance.
-func (s *State) Crashes(now clock.Millis) map[unit.Fingerprint]int {
-	out := make(map[unit.Fingerprint]int)
-	for f, c := range s.crashes {
-		if now <= c.lastAt+crashRetention {
-			out[f] = c.count
-		}
-	}
-	return out
-}
-
 // maxAttempts returns how many attempts may be made. One more than the route's
 // limit is allowed if the latest target did not run the request: that attempt does
 // not count, but the number of attempts must stay bounded.
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -213,3 +213,37 @@
 		s.Reduce(1, op.AttemptEnded{Call: 1, Target: e.Target, Outcome: unit.Ran, Whole: true}, v, &out)
 	}
 }
+
+// TestRequestThatGoesOnCrashingTargetsIsTriedLessAndLessOften guards against a request
+// that is let through to the targets again and again (BUDGET): it comes every second,
+// at instances in turn, and crashes each target that runs it.
+func TestRequestThatGoesOnCrashingTargetsIsTriedLessAndLessOften(t *testing.T) {
+	instances := []*State{{}, {}, {}}
+	var crashedAt []clock.Millis
+	for now := clock.Millis(0); now < 100*clock.Second; now += clock.Second {
+		s := instances[now/clock.Second%3]
+		v := view("a", "b", "c", "d")
+		for _, other := range instances {
+			if other != s {
+				for f, n := range other.Crashes(now) {
+					v.Crashes = map[unit.Fingerprint]int{f: v.Crashes[f] + n}
+				}
+			}
+		}
+		s.ObserveCrashes(now, v.Crashes)
+		var out op.List
+		s.Reduce(now, op.RequestReceived{Call: 1, Host: "h", Path: "/safe/x", Head: platform.RequestHeaders{Key: "k", Left: 800}, Fingerprint: 9}, v, &out)
+		for len(out) > 0 {
+			p, ok := out[0].(op.ForwardRequest)
+			if !ok {
+				break
+			}
+			crashedAt = append(crashedAt, now)
+			out = nil
+			s.Reduce(now, op.AttemptEnded{Call: 1, Target: p.Target, Outcome: unit.Unknown, Crashed: true}, v, &out)
+		}
+	}
+	if len(crashedAt) < crashLimit || len(crashedAt) > crashLimit+3 {
+		t.Errorf("targets crashed at %v, want at most three after the first %d", crashedAt, crashLimit)
+	}
+}
