edge: the size of a chunk is that of its encoding

What callers saw (review, by reading, shown by a test): a job whose texts are full of characters that JSON escapes is never listed (LOST): its chunk passes the limit of 600 KB and is over the store's megabyte, so each write fails, for ever.

Cause: the limits of a chunk and of a text counted bytes before they are encoded.

Change: both count what a text takes in JSON at most, and a result what it takes beside its text.

Evidence: TestChunkFitsTheStoreWhenEncoded (four of six kinds of text) and TestLongestTextFitsTheStore are red without the change.

--- a/internal/edge/chunks.go
+++ b/internal/edge/chunks.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"unicode/utf8"
 
 	"github.com/sirupsen/logrus"
 
@@ -76,6 +77,30 @@
 	return chunk, nil
 }
 
+const (
+	// maxEscape is how many bytes a character of a text takes in JSON if it has to be
+	// escaped.
+	maxEscape = 6
+	// resultOverhead is what a result takes in a chunk beside its text, in bytes.
+	resultOverhead = 128
+)
+
+// encodedSize returns how many bytes a text takes at most in a stored chunk.
+func encodedSize(text string) int {
+	size := 0
+	for _, r := range text {
+		switch {
+		case r < ' ' || r == '<' || r == '>' || r == '&' || r == utf8.RuneError || r == '\u2028' || r == '\u2029':
+			size += maxEscape
+		case r == '"' || r == '\\':
+			size += 2
+		default:
+			size += utf8.RuneLen(r)
+		}
+	}
+	return size
+}
+
 // fitChunk shortens a chunk to the size limit of an object, and reports whether it
 // did. What it cuts off is stored with a later chunk, so a chunk whose results are
 // cut does not end the job.
@@ -83,7 +108,7 @@
 	size, shortened := 0, false
 	for i, part := range c.Parts {
 		for _, ev := range part.Events {
-			size += len(ev)
+			size += encodedSize(ev) + eventOverhead
 		}
 		if size > maxChunkBytes/2 && i > 0 {
 			c.Parts, shortened = c.Parts[:i], true
@@ -91,7 +116,7 @@
 		}
 	}
 	for i, r := range c.Results {
-		size += len(r.Text)
+		size += encodedSize(r.Text) + resultOverhead
 		if size > maxChunkBytes && i > 0 {
 			c.Results, c.Ended, shortened = c.Results[:i], false, true
 			break
--- a/internal/edge/content.go
+++ b/internal/edge/content.go
@@ -57,8 +57,8 @@
 	// started none. Only that run may add events.
 	run    int64
 	events []string
-	// size is the length of the events that runs of this instance have added, in
-	// bytes, with eventOverhead for each.
+	// size is what the events that runs of this instance have added take in the
+	// store, in bytes, with eventOverhead for each.
 	size int
 	// versions are the model versions that produced the events.
 	versions []unit.Version
--- a/internal/edge/content_test.go
+++ b/internal/edge/content_test.go
@@ -137,6 +137,62 @@
 	}
 }
 
+// TestChunkFitsTheStoreWhenEncoded guards against a chunk that the store can never take
+// (LOST): its texts are full of characters that are escaped in JSON.
+func TestChunkFitsTheStoreWhenEncoded(t *testing.T) {
+	const storeLimit = 1 << 20
+	texts := map[string]string{
+		"plain": "abcdef", "quotes": "\"\\", "markup": "<&>", "control": "\x01\x02\n", "invalid": "\xff\xfe", "wide": "\u4e16\u2028",
+	}
+	for name, text := range texts {
+		t.Run(name, func(t *testing.T) {
+			long := strings.Repeat(text, maxChunkBytes/2/len(text))
+			for _, c := range []chunkRecord{
+				{Results: []platform.Result{{ID: "i0", Text: long}, {ID: "i1", Text: long}, {ID: "i2", Text: long}}},
+				{Parts: []partRecord{{ID: "i0", Events: []string{long[:len(long)/4]}}, {ID: "i1", Events: []string{long[:len(long)/4]}}, {ID: "i2", Events: []string{long[:len(long)/4]}}}},
+			} {
+				b, err := json.Marshal(long)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if size := encodedSize(long); size < len(b)-2 {
+					t.Errorf("size %d, encoded %d", size, len(b))
+				}
+				c, _ := fitChunk(c)
+				b, err = json.Marshal(c)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if n := len(c.Results) + len(c.Parts); len(b) > storeLimit && n > 1 {
+					t.Errorf("%d texts in a chunk of %d bytes", n, len(b))
+				}
+			}
+		})
+	}
+}
+
+// TestLongestTextFitsTheStore guards against an item whose output is taken although no
+// chunk can hold it.
+func TestLongestTextFitsTheStore(t *testing.T) {
+	p := testProcess(&memoryStore{})
+	c := newJobContent(jobRecord{}, testItems(1))
+	p.contents.put(testJob, c)
+	c.beginRun(0, 1)
+	r := &run{p: p, e: op.RunItem{Job: testJob, Run: 1}, lastEvent: -1, eventCount: 1}
+	for n := int64(0); ; n++ {
+		if err := r.keepEvent(platform.Event{ID: n, Data: []byte(strings.Repeat("\x01", 1000))}); err != nil {
+			break
+		}
+	}
+	b, err := json.Marshal(strings.Join(c.texts[0].events, "\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(b) > 1<<20 {
+		t.Errorf("a text of %d bytes was taken", len(b))
+	}
+}
+
 // TestEachWriteOfAChunkEnds guards against a job whose next chunk is never written,
 // because the end of the last write was not reported.
 func TestEachWriteOfAChunkEnds(t *testing.T) {
--- a/internal/edge/items.go
+++ b/internal/edge/items.go
@@ -39,7 +39,7 @@
 var errMixedVersions = errors.New("version changed in a text that requires a single version")
 
 const (
-	// maxTextBytes bounds the text of an item, in bytes. A longer one would not fit
+	// maxTextBytes bounds the text of an item as it is stored. A longer one would not fit
 	// into a chunk of results.
 	maxTextBytes = maxChunkBytes
 	// maxFirstEvent is the largest ID that the first event of a text may have:
@@ -308,11 +308,12 @@
 		if !t.continued {
 			t.startLineage(fmt.Sprintf("%s/%d", r.p.state.Self, r.e.Run))
 		}
-		if t.size += len(ev.Data) + eventOverhead; t.size > maxTextBytes {
+		data := string(ev.Data)
+		if t.size += encodedSize(data) + eventOverhead; t.size > maxTextBytes {
 			err = platform.ErrTooLong
 			return
 		}
-		t.events = append(t.events, string(ev.Data))
+		t.events = append(t.events, data)
 		t.lastEvent = ev.ID
 		if !slices.Contains(t.versions, r.version) {
 			t.versions = append(t.versions, r.version)
