metering: counts of ended incarnations never fill a datagram

What callers saw (review, by reading, shown by a test): after most of a fleet of 40 or more has started again, heartbeats with the counts of all ended incarnations are longer than a datagram and are not sent: the survivors take each other for dead.

Cause: each heartbeat with counts had all of them, 566 KB for 80 sources with 80 workspaces and four windows.

Change: a heartbeat carries some hundred counts of ended sources, in turn. One that is too long is logged.

Evidence: TestHeartbeatFitsIntoADatagram; each of the 80 sources is sent within 80 heartbeats, none over 60 KB.

--- a/internal/edge/heartbeat_test.go
+++ b/internal/edge/heartbeat_test.go
@@ -140,3 +140,46 @@
 		t.Error("the target is still avoided")
 	}
 }
+
+// TestHeartbeatFitsIntoADatagram guards against peers that take each other for dead
+// after most of a large fleet has started again: heartbeats with the counts of all
+// ended incarnations were longer than a datagram, and were not sent.
+func TestHeartbeatFitsIntoADatagram(t *testing.T) {
+	const (
+		sources    = 80
+		workspaces = 80
+		windows    = 4
+	)
+	s, _ := fleetState(70, 45)
+	for n := range sources {
+		counts := op.SourceCounts{Source: unit.Incarnation(fmt.Sprintf("edge-%03d#00001769000000000000", n))}
+		for w := range workspaces {
+			for k := range windows {
+				counts.Counts = append(counts.Counts, op.WindowCount{
+					Window: unit.Window(353445120 + k), Workspace: unit.Workspace(fmt.Sprintf("workspace-%02d", w)), Count: 1234,
+				})
+			}
+		}
+		s.Reduce(1, op.HeartbeatReceived{Heartbeat: op.Heartbeat{Instance: "other", Incarnation: "other#1", Seq: int64(n + 1), Counts: []op.SourceCounts{counts}}})
+	}
+	sent := make(map[unit.Incarnation]bool)
+	for round := range sources {
+		s.nextCountsAt = 0
+		var out op.List
+		s.sendHeartbeats(10_000, &out)
+		h := out[0].(op.SendHeartbeats).Heartbeat
+		raw, err := cbor.Marshal(h)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(raw) > maxHeartbeatBytes {
+			t.Fatalf("heartbeat %d has %d bytes, want at most %d", round, len(raw), maxHeartbeatBytes)
+		}
+		for _, c := range h.Counts {
+			sent[c.Source] = true
+		}
+	}
+	if len(sent) < sources {
+		t.Errorf("counts of %d of %d sources were sent", len(sent), sources)
+	}
+}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -63,6 +63,9 @@
 		p.log.WithField("Error", err.Error()).Error("heartbeat not encoded")
 		return
 	}
+	if len(b) > maxHeartbeatBytes {
+		p.log.WithField("Bytes", len(b)).Error("heartbeat is too long to be received")
+	}
 	for _, address := range e.Addresses {
 		to, err := netip.ParseAddrPort(address)
 		if err != nil {
--- a/internal/metering/metering.go
+++ b/internal/metering/metering.go
@@ -27,6 +27,10 @@
 	retainedWindows = 6
 )
 
+// maxEndedCounts is how many counts of sources that have ended a heartbeat carries, and
+// those of one source more.
+const maxEndedCounts = 600
+
 // State holds the counts of all instances, as far as they are known.
 type State struct {
 	Self unit.Incarnation
@@ -37,6 +41,9 @@
 	Counts map[unit.Incarnation]map[countKey]int64
 	// windows holds the progress of the windows that this instance reports.
 	windows map[unit.Window]*window
+	// sentLast is the last source that has ended whose counts were sent, if there was
+	// no room for all.
+	sentLast unit.Incarnation
 	// startedAt is when this instance first advanced the state; startedSet is set
 	// from then on.
 	startedAt  clock.Millis
@@ -95,19 +102,40 @@
 	return m
 }
 
-// CountsToSend returns the counts that this instance sends to its peers: its
-// own, and those of incarnations that are not live and so no longer send them
-// themselves.
+// CountsToSend returns the counts that this instance sends to its peers: its own,
+// and those of incarnations that are not live and so no longer send them themselves.
+// If these are many, they are sent in turn, so that a heartbeat fits into a datagram.
 func (s *State) CountsToSend(live map[unit.Incarnation]bool) []op.SourceCounts {
-	var out []op.SourceCounts
-	for _, source := range slices.Sorted(maps.Keys(s.Counts)) {
-		if source == s.Self || !live[source] {
-			out = append(out, op.SourceCounts{Source: source, Counts: s.sortedCounts(source)})
+	out, ended := s.ownAndEnded(live)
+	sent := 0
+	for i := range ended {
+		if sent >= maxEndedCounts {
+			s.sentLast = ended[i-1]
+			return out
 		}
+		counts := s.sortedCounts(ended[i])
+		sent += len(counts)
+		out = append(out, op.SourceCounts{Source: ended[i], Counts: counts})
 	}
 	return out
 }
 
+// ownAndEnded returns this instance's own counts, and the sources that have ended,
+// beginning after the one that was sent last.
+func (s *State) ownAndEnded(live map[unit.Incarnation]bool) (own []op.SourceCounts, ended []unit.Incarnation) {
+	sources := slices.Sorted(maps.Keys(s.Counts))
+	after, _ := slices.BinarySearch(sources, s.sentLast+"\x00")
+	for _, source := range slices.Concat(sources[after:], sources[:after]) {
+		switch {
+		case source == s.Self:
+			own = append(own, op.SourceCounts{Source: source, Counts: s.sortedCounts(source)})
+		case !live[source]:
+			ended = append(ended, source)
+		}
+	}
+	return own, ended
+}
+
 // sortedCounts returns the counts of a source, sorted by window and workspace.
 func (s *State) sortedCounts(source unit.Incarnation) []op.WindowCount {
 	var out []op.WindowCount
