edge: a job that runs ahead here is never announced as one without an owner

Cause: a read of a job that is stored, at the instance that runs it ahead and has not claimed it yet, added the job as one without an owner. The question whether some instance runs it ahead went to the peers only.

Change: an instance that has the job itself adds nothing.

Evidence: TestJobThatRunsAheadHereIsNotAnnouncedWithoutOwner, red without the change.

--- a/internal/edge/ahead_test.go
+++ b/internal/edge/ahead_test.go
@@ -196,3 +196,18 @@
 		}
 	})
 }
+
+// TestJobThatRunsAheadHereIsNotAnnouncedWithoutOwner guards against a second owner: a
+// caller reads a job at the instance that runs it ahead, before that has claimed it.
+func TestJobThatRunsAheadHereIsNotAnnouncedWithoutOwner(t *testing.T) {
+	p, _, _ := aheadProcess(t)
+	if p.runAhead(context.Background(), aheadWrite(t, p)) == nil {
+		t.Fatal("the job does not run ahead")
+	}
+	p.apply(op.StoredJobFound{Job: testJob})
+	p.withState(func(_ clock.Millis, s *State) {
+		if orphans := s.Heartbeats.Orphans(); len(orphans) > 0 {
+			t.Errorf("announced as without an owner: %v", orphans)
+		}
+	})
+}
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -205,9 +205,12 @@
 	}
 }
 
-// storedJobFound adds a stored job to the list of the fleet's jobs. If a peer runs
-// its items ahead, that peer is about to claim it.
+// storedJobFound adds a stored job to the list of the fleet's jobs. If this instance
+// or a peer runs its items ahead, that one is about to claim it.
 func (s *State) storedJobFound(now clock.Millis, job string) {
+	if s.Batch.Jobs[job] != nil {
+		return
+	}
 	if owner, ok := s.Heartbeats.AheadOwner(now, job); ok {
 		s.Heartbeats.UpdateJob(op.JobStatus{ID: job}, owner)
 		return
