roster: attempts at a target count also while its entry is gone

Cause: the count was part of the entry.

Change: attempts are counted by target, whether it has an entry or not.

Evidence: TestPlacesInUseAreAttemptsInFlight, random orders of entries and attempts, shrinks to "an attempt, the entry gone, the entry back" on the code before.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -36,7 +36,8 @@
 	// GoneAt is when a target whose entry is missing is dropped, 0 while the
 	// entry exists.
 	GoneAt clock.Millis
-	// Running counts the attempts of this instance in flight at the target.
+	// Running counts the attempts of this instance in flight at the target, also those
+	// that began before its entry was gone for a while.
 	Running int
 	// Elsewhere counts the attempts of other instances in flight at the target,
 	// as their heartbeats report.
@@ -66,6 +67,9 @@
 	// usable holds the result of Usable by pool, until a target is added, changed or
 	// removed.
 	usable map[unit.Pool][]*Target
+	// attempts counts the attempts of this instance in flight at each target. A target
+	// whose entry is gone for a while still runs them.
+	attempts map[unit.Target]int
 	// picks counts the calls of Pick. It rotates the order of equal targets.
 	picks uint64
 }
@@ -93,7 +97,7 @@
 	}
 	t := s.Targets[e.Target]
 	if t == nil {
-		t = &Target{}
+		t = &Target{Running: s.attempts[e.Target]}
 		s.Targets[e.Target] = t
 	}
 	if t.Born != e.Born {
@@ -213,19 +217,26 @@
 }
 
 // AttemptStarted counts a new attempt at a target.
-func (s *State) AttemptStarted(id unit.Target) {
+func (s *State) AttemptStarted(id unit.Target) { s.countAttempt(id, 1) }
+
+// countAttempt adds n to the attempts in flight at a target.
+func (s *State) countAttempt(id unit.Target, n int) {
+	if s.attempts == nil {
+		s.attempts = make(map[unit.Target]int)
+	}
+	running := max(s.attempts[id]+n, 0)
+	s.attempts[id] = running
+	if running == 0 {
+		delete(s.attempts, id)
+	}
 	if t := s.Targets[id]; t != nil {
-		t.Running++
+		t.Running = running
 	}
 }
 
 // AttemptCancelled uncounts an attempt that this instance has cancelled. It does
 // not change whether the target is suspect.
-func (s *State) AttemptCancelled(id unit.Target) {
-	if t := s.Targets[id]; t != nil {
-		t.Running = max(t.Running-1, 0)
-	}
-}
+func (s *State) AttemptCancelled(id unit.Target) { s.countAttempt(id, -1) }
 
 // RecordVersion records the model version that a target answered with, if it is
 // newer than the one in its entry. The entry may be stale.
@@ -244,11 +255,11 @@
 // AttemptEnded uncounts an attempt that was not cancelled. If failed is set, the
 // target becomes suspect, otherwise its failures are reset.
 func (s *State) AttemptEnded(now clock.Millis, id unit.Target, failed bool) {
+	s.countAttempt(id, -1)
 	t := s.Targets[id]
 	if t == nil {
 		return
 	}
-	t.Running = max(t.Running-1, 0)
 	if !failed {
 		t.Failures, t.SuspectUntil = 0, 0
 		return
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -3,6 +3,10 @@
 import (
 	"testing"
 
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
 	"github.com/catkinhead/catkinhead/pkg/clock"
 	"github.com/catkinhead/catkinhead/pkg/platform"
 	"github.com/catkinhead/catkinhead/pkg/unit"
@@ -109,3 +113,44 @@
 		s.Pick(0, "p", nil)
 	}
 }
+
+// TestPlacesInUseAreAttemptsInFlight guards against targets that get more attempts than
+// they have slots, or fewer, after their entries were gone for a while: random orders
+// of entries that come and go, and of attempts.
+func TestPlacesInUseAreAttemptsInFlight(t *testing.T) {
+	properties := gopter.NewProperties(gopter.DefaultTestParameters())
+	properties.Property("places in use equal attempts in flight", prop.ForAll(func(steps []int) bool {
+		s, inFlight := threeTargets(), make(map[unit.Target]int)
+		for now, step := range steps {
+			id := []unit.Target{"a", "b", "c"}[step%3]
+			switch step / 3 {
+			case 0:
+				s.Upsert(clock.Millis(now), platform.TargetEntry{Target: id, Pool: "p", Slots: 2, Born: int64(now / 8)})
+			case 1:
+				s.Remove(clock.Millis(now), id)
+			case 2:
+				if s.Targets[id] != nil {
+					s.AttemptStarted(id)
+					inFlight[id]++
+				}
+			case 3:
+				if inFlight[id] > 0 {
+					s.AttemptEnded(clock.Millis(now), id, now%2 == 0)
+					inFlight[id]--
+				}
+			case 4:
+				if inFlight[id] > 0 {
+					s.AttemptCancelled(id)
+					inFlight[id]--
+				}
+			}
+			for id, target := range s.Targets {
+				if target.Running != inFlight[id] {
+					return false
+				}
+			}
+		}
+		return true
+	}, gen.SliceOf(gen.IntRange(0, 14))))
+	properties.TestingRun(t)
+}
