lease: an instance waits for the grace after its own late calls too

Holders act B, C, B within 1.4 s, as the receiver sees it (ONE).

Cause: an instance that held the lease before waited for the grace after its own term. A call of that term without an answer may arrive later than that, up to when it is settled.

Change: the wait begins when the term has ended and its calls are settled.

--- a/internal/lease/acquire.go
+++ b/internal/lease/acquire.go
@@ -29,7 +29,8 @@
 // wayToAcquire returns why this instance may act under the lease at once if it
 // acquires it, or none if the calls of an earlier holder may still arrive at
 // their receivers. An instance that held the lease before waits for Grace after
-// that term too, so that it does not act in turn with a holder in between.
+// that term and after the last time at which one of its own calls may have arrived,
+// so that it does not act in turn with a holder in between.
 //
 // If the record names this instance, no other one has held the lease since, and
 // there is nobody to wait for. An instance that has restarted too often in a row
@@ -44,7 +45,7 @@
 		return none
 	case own != none:
 		return own
-	case !l.Calls.settled(now) || now < l.EndedAt+grace:
+	case !l.Calls.settled(now) || now < l.quietSince()+grace:
 		return none
 	}
 	way, endedAt := s.endOfTerm(l)
@@ -54,6 +55,15 @@
 	return none
 }
 
+// quietSince returns the time since when no call of this instance arrives any more:
+// the end of its last term, or when its calls without an answer are settled.
+func (l *Lease) quietSince() clock.Millis {
+	if l.Calls.SettledAt > 0 {
+		return max(l.EndedAt, l.Calls.SettledAt)
+	}
+	return l.EndedAt
+}
+
 // ownWay returns ownRecord or ownInstance if the record names this instance, else
 // none. A process of the same name at another address may be on another machine,
 // whose calls have to be waited for. If this process is named but does not hold
--- a/internal/lease/release_test.go
+++ b/internal/lease/release_test.go
@@ -134,11 +134,15 @@
 	tests := map[string]struct {
 		settled bool
 		endedAt clock.Millis
-		want    clock.Millis
+		// callSettledAt is when a call of its own without an answer is settled, 0 for
+		// none.
+		callSettledAt clock.Millis
+		want          clock.Millis
 	}{
-		"settled":                   {true, -1000, 0},
-		"not known to be settled":   {false, -1000, 1000},
-		"settled, held before that": {true, -400, 750},
+		"settled":                              {true, -1000, 0, 0},
+		"not known to be settled":              {false, -1000, 0, 1000},
+		"settled, held before that":            {true, -400, 0, 750},
+		"settled, own call may have come late": {true, -1000, 300, 1500},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -146,6 +150,7 @@
 			s := &State{Self: "a#1", Times: testTimes}
 			s.SetWanted(scope, true)
 			s.Leases[scope].EndedAt = tt.endedAt
+			s.Leases[scope].Calls.SettledAt = tt.callSettledAt
 			for now := clock.Millis(0); now < 5000; now += 50 {
 				o.tick(now, s)
 				if _, _, held := s.Held(scope, now); held {
