--- a/internal/edge/candidacy_test.go
+++ b/internal/edge/candidacy_test.go
@@ -20,6 +20,8 @@
 	// holders are the instances that held the lease, in turn, each with the time at
 	// which it began and that of its last tick as the holder.
 	holders []leaseTerm
+	// idle is for how long nobody held the lease.
+	idle clock.Millis
 }
 
 // leaseTerm is a time in which one instance held the lease.
@@ -91,6 +93,7 @@
 
 // recordHolder records which instance holds the lease.
 func (f *leaseFleet) recordHolder() {
+	f.idle += 50
 	for i, s := range f.states {
 		if s == nil {
 			continue
@@ -99,6 +102,7 @@
 		if !held {
 			continue
 		}
+		f.idle -= 50
 		if n := len(f.holders); n > 0 && f.holders[n-1].holder == i && f.holders[n-1].fence == fence {
 			f.holders[n-1].last = f.now
 			continue
@@ -197,3 +201,34 @@
 	f.run(20 * clock.Second)
 	f.checkTurns(t)
 }
+
+// TestTimeWithoutHolder guards against disturbances of the holder that leave the duties
+// undone for longer than the design says.
+func TestTimeWithoutHolder(t *testing.T) {
+	tests := map[string]struct {
+		disturb func(f *leaseFleet, holder int)
+		within  clock.Millis
+	}{
+		"planned stop": {func(f *leaseFleet, holder int) { f.apply(holder, op.Drain{}) }, clock.Second},
+		"kill and restart": {func(f *leaseFleet, holder int) {
+			f.kill(holder)
+			f.run(500)
+			f.start(holder, "#2")
+		}, 500 + clock.Second},
+		"death": {func(f *leaseFleet, holder int) { f.kill(holder) }, 7 * clock.Second},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newLeaseFleet()
+			f.run(20 * clock.Second)
+			before := f.idle
+			tt.disturb(f, f.holder(t))
+			f.run(20 * clock.Second)
+			t.Logf("%s: nobody held the lease for %d ms", name, f.idle-before)
+			if f.idle-before > tt.within {
+				t.Errorf("nobody held the lease for %d ms, want at most %d: %+v", f.idle-before, tt.within, f.holders)
+			}
+			f.checkTurns(t)
+		})
+	}
+}
