build: a process names the build that it runs

Cause: no record of a run could say which code ran.

The start lines of edge, storage and serve, the dumps, catkinhead_build_info and 'catkinhead version' name it, with the release, the commit if it is known, the toolchain and the platform.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -15,14 +15,12 @@
 	"github.com/integrii/flaggy"
 	"github.com/twitchtv/twirp"
 
+	"github.com/catkinhead/catkinhead/internal/build"
 	"github.com/catkinhead/catkinhead/internal/setting"
 	"github.com/catkinhead/catkinhead/internal/trace"
 	"github.com/catkinhead/catkinhead/pkg/spec"
 )
 
-// Version is the release of the program that the version command prints.
-const Version = "0.1.0"
-
 // Exit codes of all commands.
 const (
 	ExitOK = 0
@@ -63,14 +61,22 @@
 	g := &program{out: out, err: errOut}
 	p := flaggy.NewParser("catkinhead")
 	p.Description = "A rollout service between trainers or live services and the engines they use."
-	p.Version = Version
+	p.Version = build.Current().String()
 	p.AdditionalHelpAppend = "\nExit codes: 0 success, 1 failure, 2 usage error, 3 conflict with the current state, such as a concurrent change, 4 a guarantee was violated."
-	p.ShowHelpWithHFlag, p.ShowVersionWithVersionFlag = true, true
+	p.ShowHelpWithHFlag = true
+	// The parser's own --version also takes the place of the version command.
+	p.DisableShowVersionWithVersion()
+	var version bool
+	p.Bool(&version, "", "version", "print which build of the program this is")
 	g.attachCommands(p)
 	if err := p.ParseArgs(args); err != nil {
 		fmt.Fprintln(errOut, "error:", err)
 		return ExitUsage
 	}
+	if version {
+		fmt.Fprintln(out, "Version:", p.Version)
+		return ExitOK
+	}
 	if g.run == nil {
 		p.ShowHelpWithMessage("No command given.")
 		return ExitUsage
--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -7,6 +7,7 @@
 
 	"github.com/integrii/flaggy"
 
+	"github.com/catkinhead/catkinhead/internal/build"
 	"github.com/catkinhead/catkinhead/internal/trace"
 	"github.com/catkinhead/catkinhead/pkg/spec"
 )
@@ -25,8 +26,9 @@
 }
 
 func (g *program) versionCommand() command {
-	return command{name: "version", help: "print the version", run: func(context.Context) error {
-		return g.print(map[string]string{"Version": Version}, []string{"Version"}, [][]string{{Version}})
+	return command{name: "version", help: "print which build of the program this is", run: func(context.Context) error {
+		b := build.Current()
+		return g.print(b, []string{"Release", "Build", "Revision", "Go", "Platform"}, [][]string{{b.Release, b.ID, b.Revision, b.Go, b.Platform}})
 	}}
 }
 
--- a/internal/cli/hosted.go
+++ b/internal/cli/hosted.go
@@ -18,6 +18,7 @@
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 
+	"github.com/catkinhead/catkinhead/internal/build"
 	"github.com/catkinhead/catkinhead/internal/edge"
 	"github.com/catkinhead/catkinhead/internal/logs"
 	"github.com/catkinhead/catkinhead/pkg/clock"
@@ -110,7 +111,7 @@
 	if err := app.Start(ctx); err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
-	log.WithFields(logrus.Fields{"Instance": environment.Instance, "DataCentre": environment.DataCentre, "Front": environment.Front}).Info("started")
+	log.WithFields(build.Current().Fields()).WithFields(logrus.Fields{"Instance": environment.Instance, "DataCentre": environment.DataCentre, "Front": environment.Front}).Info("started")
 	waitHosted(ctx, environment, log)
 	stop, cancel := context.WithTimeout(context.Background(), environment.Bounds.StopWithin)
 	defer cancel()
@@ -260,7 +261,7 @@
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
-	log.WithField("Instance", environment.Instance).Info("started")
+	log.WithFields(build.Current().Fields()).WithField("Instance", environment.Instance).Info("started")
 	store := platform.NewStore(environment.Store, hostedStoreTimeout)
 	retire := edge.RetirementWatcher{Feed: store, Log: log, Kind: platform.KindRetirements, Instance: environment.Instance}
 	retire.Complete = func(ctx context.Context) error { return store.CompleteRetirement(ctx, string(environment.Instance)) }
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -11,6 +11,7 @@
 	"github.com/integrii/flaggy"
 	"github.com/sirupsen/logrus"
 
+	"github.com/catkinhead/catkinhead/internal/build"
 	"github.com/catkinhead/catkinhead/internal/logs"
 	"github.com/catkinhead/catkinhead/internal/serve"
 	"github.com/catkinhead/catkinhead/internal/setting"
@@ -62,6 +63,7 @@
 	if err := app.Start(ctx); err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
+	log.WithFields(build.Current().Fields()).WithFields(logrus.Fields{"Instance": set.Instance, "DataCentre": set.DataCentre, "Listen": set.Listen}).Info("started")
 	<-ctx.Done()
 	second := make(chan os.Signal, 1)
 	signal.Notify(second, os.Interrupt, syscall.SIGTERM)
--- a/internal/edge/dump.go
+++ b/internal/edge/dump.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/catkinhead/catkinhead/internal/batch"
+	"github.com/catkinhead/catkinhead/internal/build"
 	"github.com/catkinhead/catkinhead/internal/heartbeat"
 	"github.com/catkinhead/catkinhead/internal/lease"
 	"github.com/catkinhead/catkinhead/internal/roster"
@@ -11,6 +12,7 @@
 
 // Dump is the part of the state that is shown to operators. It holds no API keys.
 type Dump struct {
+	Build                build.Info
 	Instance             unit.Instance
 	ConfigurationVersion int64
 	ConfirmedAt          clock.Millis
@@ -27,6 +29,7 @@
 // copies, so it must not be used while events are applied.
 func (s *State) Dump() Dump {
 	d := Dump{
+		Build:    build.Current(),
 		Instance: s.Environment.Instance, ConfirmedAt: s.ConfirmedAt, Draining: s.Draining, Targets: s.Roster.Targets,
 		Jobs: s.Batch.Jobs, Peers: s.Heartbeats.Peers, Versions: s.ModelVersions.Wanted, Assigned: s.ModelVersions.Assigned, Leases: s.Leases.Leases,
 	}
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
 
+	"github.com/catkinhead/catkinhead/internal/build"
 	"github.com/catkinhead/catkinhead/internal/op"
 	"github.com/catkinhead/catkinhead/internal/taskgroup"
 	"github.com/catkinhead/catkinhead/pkg/clock"
@@ -275,6 +276,7 @@
 // newMetrics registers the gauges, which are read from the current state.
 func (p *Process) newMetrics() *metrics.Set {
 	set := metrics.NewSet()
+	set.NewGauge(build.Current().Metric(), func() float64 { return 1 })
 	set.NewGauge("catkinhead_store_calls_total", func() float64 { return float64(p.deps.StoreCalls()) })
 	set.NewGauge("catkinhead_requests_running", func() float64 { return float64(p.activeRequests.Load()) })
 	set.NewGauge("catkinhead_configuration_age_seconds", func() float64 {
--- a/internal/serve/dump.go
+++ b/internal/serve/dump.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gin-gonic/gin"
 
+	"github.com/catkinhead/catkinhead/internal/build"
 	"github.com/catkinhead/catkinhead/internal/decide"
 	"github.com/catkinhead/catkinhead/pkg/clock"
 	"github.com/catkinhead/catkinhead/pkg/platform/wire"
@@ -18,6 +19,7 @@
 // callers' keys are accepted now, Ready whether callers should be routed to
 // this instance.
 type dumpDocument struct {
+	Build      build.Info
 	Instance   unit.Instance
 	DataCentre unit.DataCentre
 	Now        clock.Millis
@@ -32,6 +34,7 @@
 	var err error
 	p.loop.Query(func(now clock.Millis, s *decide.State) {
 		b, err = json.MarshalIndent(dumpDocument{
+			Build:    build.Current(),
 			Instance: p.set.Instance, DataCentre: p.set.DataCentre, Now: now,
 			Ready: s.Ready(now), Fresh: s.KeysFresh(now), State: s,
 		}, "", "  ")
@@ -55,6 +58,7 @@
 // state through the loop.
 func (p *Process) newMetrics() *metrics.Set {
 	set := metrics.NewSet()
+	set.NewGauge(build.Current().Metric(), func() float64 { return 1 })
 	gauge := func(name string, f func(clock.Millis, *decide.State) float64) {
 		set.NewGauge(name, func() float64 {
 			var v float64
