edge: a new owner of a step leaves repeated items to the later step

Cause: only the owner that was asked when the later step was accepted knew which items are repeated. Nothing stored or sent told a later owner.

Change: an owner learns from heartbeats that its job's series has another job, reads that job and leaves the common items to it if its step is later. A takeover compares before it starts items.

Why it works: the later job is in the store before any caller is told of it, and its owner names the series in every heartbeat, so any owner can find the items at any time.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -207,7 +207,7 @@
 		old.Epoch = max(old.Epoch, e.Epoch)
 		return
 	}
-	j := &Job{JobShape: e.Shape, Epoch: e.Epoch, Ahead: e.Ahead, Claimed: e.Epoch <= firstEpoch && !e.Ahead, Items: make([]Item, len(e.Shape.Items))}
+	j := &Job{JobShape: e.Shape, Epoch: e.Epoch, Ahead: e.Ahead, Compared: e.Compared, Claimed: e.Epoch <= firstEpoch && !e.Ahead, Items: make([]Item, len(e.Shape.Items))}
 	for i, it := range e.Shape.Items {
 		j.Items[i] = Item{ItemShape: it, Last: -1}
 		j.Order = append(j.Order, i)
@@ -243,6 +243,11 @@
 			j.Items[i].Phase = done
 		}
 	}
+	for _, i := range e.Repeated {
+		if j.Items[i].Phase == waiting {
+			j.Items[i].Phase = repeated
+		}
+	}
 	j.Claimed = j.Claimed || j.Ended
 }
 
--- a/internal/batch/chain.go
+++ b/internal/batch/chain.go
@@ -227,7 +227,7 @@
 		return
 	}
 	out.Add(op.Note{Level: "info", Message: "items are run by a later job", Fields: map[string]string{
-		"Job": j.ID, "Stopped": strconv.Itoa(stopped), "Waiting": strconv.Itoa(waited),
+		"Job": j.ID, "Later": e.Later, "Stopped": strconv.Itoa(stopped), "Waiting": strconv.Itoa(waited),
 	}})
 }
 
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -98,6 +98,9 @@
 	// chunk is stored. EndCalls are the requests that wait for the final chunk.
 	Ending, Ended bool
 	EndCalls      []op.CallID
+	// Compared counts the known jobs of the series that were compared with this one to
+	// find items that a later job runs.
+	Compared int
 	// ClosedAt is when the job was first seen closed, 0 before.
 	ClosedAt clock.Millis
 	// rewardsDueAt is the earliest time at which a reward call may be sent.
--- a/internal/edge/jobs.go
+++ b/internal/edge/jobs.go
@@ -33,17 +33,9 @@
 // loadJob reads a job and its chunks from the store. The error wraps
 // platform.ErrNotFound if there is no such job.
 func (p *Process) loadJob(ctx context.Context, id string) (*jobContent, []op.ChunkShape, error) {
-	o, err := p.deps.Store.Get(ctx, jobsKind+"/"+id)
+	record, job, err := p.readJob(ctx, id)
 	if err != nil {
-		return nil, nil, fmt.Errorf("read job: %w", err)
-	}
-	var record jobRecord
-	if err := json.Unmarshal(o.Value, &record); err != nil {
-		return nil, nil, fmt.Errorf("decode job: %w", err)
-	}
-	job, err := p.deps.Ingress.Job(id, record.Body)
-	if err != nil {
-		return nil, nil, fmt.Errorf("decode stored job: %w", err)
+		return nil, nil, err
 	}
 	objects, _, err := p.deps.Store.ListKind(ctx, chunksKind+id)
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
@@ -84,16 +76,18 @@
 	}
 	// Epoch 1 is that of the instance that accepted the job.
 	c.epoch = max(c.epoch, 1) + 1
+	shape := c.shape()
+	shape.Age = p.clock.Wall() - clock.Millis(c.record.SubmittedAt)
+	gained := op.JobOwnershipGained{Shape: shape, Epoch: c.epoch, Chunks: chunks}
+	p.markRepeated(ctx, c, &gained)
 	if !p.contents.put(e.Job, c) {
 		return
 	}
-	shape := c.shape()
-	shape.Age = p.clock.Wall() - clock.Millis(c.record.SubmittedAt)
 	p.log.WithFields(logrus.Fields{
 		"Job": e.Job, "From": e.From, "Epoch": c.epoch, "Listed": len(c.results), "Items": len(shape.Items),
-		"Kept": len(c.lastKeptEvents()), "AgeMillis": shape.Age,
+		"Kept": len(c.lastKeptEvents()), "Repeated": len(gained.Repeated), "AgeMillis": shape.Age,
 	}).Info("job taken over")
-	gained := op.JobOwnershipGained{Shape: shape, Epoch: c.epoch, Chunks: chunks, Saved: c.lastKeptEvents()}
+	gained.Saved = c.lastKeptEvents()
 	gained.Whole, gained.Scored = c.wholeItems()
 	p.apply(gained)
 }
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -205,6 +205,8 @@
 		p.contents.forgetJob(e.Job, e.Epoch)
 	case op.TakeOverJob:
 		p.tasks.Go(func(ctx context.Context) { p.takeOverJob(ctx, e) })
+	case op.CompareJobs:
+		p.tasks.Go(func(ctx context.Context) { p.compareJobs(ctx, e) })
 	case op.ListJobs:
 		p.tasks.Go(p.listJobs)
 	case op.SendHeartbeats:
--- a/internal/edge/reuse.go
+++ b/internal/edge/reuse.go
@@ -39,7 +39,9 @@
 // those that the owner still has in memory.
 type keptRequest struct {
 	Workspace unit.Workspace
-	Items     []string
+	// Job is the later job that repeats the items.
+	Job   string
+	Items []string
 	// MinVersion is the oldest version whose text can be used.
 	MinVersion unit.Version
 }
@@ -152,7 +154,11 @@
 	gained := op.JobOwnershipGained{Shape: c.shape(), Epoch: c.epoch, Ahead: ahead}
 	var predecessors []heartbeat.Predecessor
 	if c.series() != 0 {
-		p.withState(func(now clock.Millis, s *State) { predecessors = s.Heartbeats.Predecessors(now, c.series(), c.job.ID) })
+		p.withState(func(now clock.Millis, s *State) {
+			predecessors = s.Heartbeats.Predecessors(now, c.series(), c.job.ID)
+			// The jobs that are known when a trainer submits a new one are earlier ones.
+			gained.Compared = len(s.Heartbeats.SeriesJobs(c.series()))
+		})
 	}
 	if len(predecessors) > 0 {
 		p.reuseEarlierTexts(ctx, c, predecessors)
@@ -170,7 +176,7 @@
 func (p *Process) reuseEarlierTexts(ctx context.Context, c *jobContent, predecessors []heartbeat.Predecessor) {
 	ctx, cancel := context.WithTimeout(ctx, reuseTimeout)
 	defer cancel()
-	request := keptRequest{Workspace: c.record.Workspace, MinVersion: c.job.MinVersion}
+	request := keptRequest{Workspace: c.record.Workspace, Job: c.job.ID, MinVersion: c.job.MinVersion}
 	for _, it := range c.job.Items {
 		request.Items = append(request.Items, it.ID)
 	}
@@ -224,7 +230,7 @@
 // to run them there. Before the job's claim is stored there are none: a former owner
 // may still list other texts for these items.
 func (p *Process) localKeptTexts(job string, request keptRequest) (texts []keptText) {
-	repeated := op.ItemsRepeated{Job: job}
+	repeated := op.ItemsRepeated{Job: job, Later: request.Job}
 	p.contents.withJob(job, func(c *jobContent) {
 		if c.record.Workspace == request.Workspace {
 			repeated.Items = c.positions(request.Items)
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -183,6 +183,7 @@
 		s.Metering.Reduce(now, ev, s.meteringView(now), out)
 	case op.HeartbeatReceived:
 		s.heartbeatReceived(now, e.Heartbeat, out)
+		s.compareSeries(out)
 	case op.PeersListed:
 		if s.Heartbeats.AddPeers(e.Peers) {
 			s.nextHeartbeatAt = now
@@ -228,6 +229,7 @@
 	s.updateCandidacy(now)
 	s.Leases.Reduce(now, e, out)
 	s.recordOwnedJobs(now)
+	s.compareSeries(out)
 	s.Heartbeats.Tick(now, s.Draining, out)
 	s.advance(now, out)
 	s.Scaling.Advance(now, s.dutyView(now), out)
--- a/internal/edge/store_test.go
+++ b/internal/edge/store_test.go
@@ -27,9 +27,14 @@
 	// beforePut is called before each write. An error that it returns is the
 	// answer to the write, which then is not done.
 	beforePut func(key string) error
+	// beforeGet is called before each read; it may be nil.
+	beforeGet func(key string)
 }
 
 func (m *memoryStore) Get(_ context.Context, key string) (platform.Object, error) {
+	if m.beforeGet != nil {
+		m.beforeGet(key)
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	o, ok := m.objects[key]
--- a/internal/heartbeat/heartbeat.go
+++ b/internal/heartbeat/heartbeat.go
@@ -55,6 +55,8 @@
 	// sortedPeers holds the keys of Peers in ascending order.
 	sortedPeers []unit.Instance
 	jobs        map[string]*jobState
+	// series holds the jobs of each series in the order in which they were learned.
+	series map[unit.Series][]string
 	// jobCount counts all jobs that were ever added.
 	jobCount int64
 	// startedAt is the time of the first tick; startedSet is set from then on.
--- a/internal/heartbeat/jobs.go
+++ b/internal/heartbeat/jobs.go
@@ -77,12 +77,18 @@
 	return out
 }
 
+// SeriesJobs returns the jobs of a series in the order in which this instance has
+// learned of them, which need not be that of the steps. The caller must not change
+// the slice.
+func (s *State) SeriesJobs(series unit.Series) []string { return s.series[series] }
+
 // UpdateJob adds or updates a job. The owner, which may be this instance, is
 // ignored if a higher epoch is known already. An empty owner means that there
 // is none.
 func (s *State) UpdateJob(j op.JobStatus, owner unit.Instance) {
 	if s.jobs == nil {
 		s.jobs = make(map[string]*jobState)
+		s.series = make(map[unit.Series][]string)
 	}
 	k := s.jobs[j.ID]
 	if k == nil {
@@ -93,8 +99,9 @@
 	if j.Epoch >= k.epoch {
 		k.owner, k.epoch = owner, j.Epoch
 	}
-	if j.Series != 0 {
+	if j.Series != 0 && k.series == 0 {
 		k.series = j.Series
+		s.series[j.Series] = append(s.series[j.Series], j.ID)
 	}
 	k.closed = k.closed || j.Closed
 }
--- a/internal/op/edge_effect.go
+++ b/internal/op/edge_effect.go
@@ -108,6 +108,10 @@
 	Run  int64
 }
 
+// CompareJobs finds out whether another job of the series, of a later step, runs items
+// of a job that this instance owns. ItemsRepeated follows if it does.
+type CompareJobs struct{ Job, Other string }
+
 // AppendChunk stores the next chunk of a job's results, unless there is one
 // with its number. ChunkAppended reports the result.
 type AppendChunk struct {
@@ -216,6 +220,7 @@
 func (SendCounts) effect()         {}
 func (OrderTargets) effect()       {}
 func (SendHeartbeats) effect()     {}
+func (CompareJobs) effect()        {}
 func (TakeOverJob) effect()        {}
 func (ListJobs) effect()           {}
 func (ForgetJob) effect()          {}
--- a/internal/op/job_event.go
+++ b/internal/op/job_event.go
@@ -55,6 +55,10 @@
 	// those of them whose reward call needs no repetition, since its score is
 	// known.
 	Whole, Scored []int
+	// Repeated are the items that later jobs of the series run, see ItemsRepeated.
+	Repeated []int
+	// Compared is how many of the known jobs of the series need no CompareJobs.
+	Compared int
 	// Ahead is set if the job is not stored yet: its items run, but nothing is
 	// listed before JobStored.
 	Ahead bool
@@ -168,6 +172,8 @@
 // them from now on.
 type ItemsRepeated struct {
 	Job string
+	// Later is the later job, Job the earlier one.
+	Later string
 	// Items are their positions in the earlier job.
 	Items []int
 }
