link: a read of the store is repeated where it is counted

Change: NewReadingClient switches that off and sends a read once more itself, only if a kept connection ended without an answer; the store clients count the repetition as a call. Evidence: TestReadIsRepeatedOnceAndCounted; with NewClient in its place no repetition is counted and the second request still arrives. Writes are not repeated by either.

--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -51,7 +51,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for heartbeats: %w", err)
 	}
-	return &peerTransport{heartbeats: conn, http: link.NewClient(4, true, nil)}, nil
+	return &peerTransport{heartbeats: conn, http: link.NewReadingClient(4, nil, nil)}, nil
 }
 
 func (x *peerTransport) close() { x.heartbeats.Close() }
--- a/pkg/platform/wire/client.go
+++ b/pkg/platform/wire/client.go
@@ -43,7 +43,7 @@
 // NewPlatform returns a client for the platform at base.
 func NewPlatform(base string, c clock.Clock, timeout time.Duration) *Platform {
 	p := &Platform{Base: base, Timeout: timeout, orderClient: link.NewOrderClient(c)}
-	p.client = link.NewClient(8, true, &p.Bytes)
+	p.client = link.NewReadingClient(8, &p.Bytes, func() { p.Calls.Add(1) })
 	return p
 }
 
--- a/pkg/platform/wire/engine.go
+++ b/pkg/platform/wire/engine.go
@@ -50,7 +50,7 @@
 		Timeout:         timeout,
 		LoadBytes:       loads,
 		client:          link.NewClient(256, true, nil),
-		loadClient:      link.NewClient(256, true, loads),
+		loadClient:      link.NewReadingClient(256, loads, nil),
 		singleUseClient: link.NewClient(0, false, nil),
 		orderClient:     link.NewOrderClient(c),
 	}
