edge: bodies of callers' requests fit the memory of the instance

Cause: each body is read whole and kept until its request ends, and nothing bounds their sum.

Change: a body of more than 64 KiB needs room in a budget of a quarter of the process's memory. A request waits 1 s for it, in order of arrival, and is then refused as not run. A body without a length takes room for two of the longest, since its buffer grows by copies. A body with a length is read into one buffer of that length.

--- /dev/null
+++ b/internal/edge/body.go
@@ -0,0 +1,162 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/semaphore"
+
+	"github.com/catkinhead/catkinhead/internal/op"
+	"github.com/catkinhead/catkinhead/pkg/clock"
+	"github.com/catkinhead/catkinhead/pkg/unit"
+)
+
+const (
+	// defaultBodyLimit bounds request bodies until a configuration is known, in
+	// bytes.
+	defaultBodyLimit = 32 << 20
+	// bodyReadTimeout bounds the time to read a request body. Callers that keep
+	// to the configured limits send faster.
+	bodyReadTimeout = 10 * time.Second
+	// smallBody is the length up to which a body does not count towards the budget,
+	// in bytes.
+	smallBody = 64 << 10
+	// bodyMemoryShare is the part of the process's memory that bodies may take at the
+	// same time: one in bodyMemoryShare.
+	bodyMemoryShare = 4
+	// maxBodyWait is how long a request waits for room for its body.
+	maxBodyWait = time.Second
+	// bodyRetryAfter is the Retry-After hint if there is no room.
+	bodyRetryAfter clock.Millis = 400
+)
+
+// errNoRoom means that the bodies of other requests take the memory for bodies.
+var errNoRoom = errors.New("no room for the request's body")
+
+// bodyBudget bounds the memory that the bodies of callers' requests take at the same
+// time. A body stays in memory until its request ends, since it may have to be sent to
+// another target. The zero value has no bound.
+type bodyBudget struct {
+	room *semaphore.Weighted
+	// size is the bound in bytes.
+	size int64
+}
+
+// newBodyBudget returns the budget of a process with a memory limit in bytes, 0 for
+// none.
+func newBodyBudget(memory int64) bodyBudget {
+	if memory <= 0 {
+		return bodyBudget{}
+	}
+	size := memory / bodyMemoryShare
+	return bodyBudget{room: semaphore.NewWeighted(size), size: size}
+}
+
+// acquire waits for room for a body of n bytes, in the order of the calls, and returns
+// a function that gives it back. A body that is larger than the whole budget needs all
+// of it. The error is errNoRoom if there is none in time.
+func (b bodyBudget) acquire(ctx context.Context, n int64) (release func(), err error) {
+	n = min(n, b.size)
+	if b.room == nil || n <= smallBody {
+		return func() {}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, maxBodyWait)
+	defer cancel()
+	if err := b.room.Acquire(ctx, n); err != nil {
+		return nil, fmt.Errorf("%w of %d bytes: %w", errNoRoom, n, err)
+	}
+	return func() { b.room.Release(n) }, nil
+}
+
+// readBody reads the body within the configured limit and the budget. If that fails,
+// it answers the caller and returns false. release gives the room back.
+func (cr *callerRequest) readBody() (release func(), ok bool) {
+	limit := cr.p.bodyLimit()
+	rc := http.NewResponseController(cr.w)
+	if cr.r.ContentLength != 0 {
+		// Where deadlines are not supported, the server's own timeout applies.
+		_ = rc.SetReadDeadline(time.Now().Add(bodyReadTimeout))
+	}
+	body, release, err := cr.p.bodies.read(cr.r.Context(), http.MaxBytesReader(cr.w, cr.r.Body, limit), cr.r.ContentLength, limit)
+	if cr.r.ContentLength != 0 {
+		_ = rc.SetReadDeadline(time.Time{})
+	}
+	if err != nil {
+		cr.refuseBody(err)
+		return nil, false
+	}
+	cr.body = body
+	return release, true
+}
+
+// refuseBody answers a request whose body could not be read.
+func (cr *callerRequest) refuseBody(err error) {
+	cr.log("body not read", logrus.Fields{"Error": err.Error(), "Length": cr.r.ContentLength})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		cr.respond(op.Respond{Status: http.StatusRequestEntityTooLarge, Reason: op.BadJob, Outcome: unit.NotRun})
+	case errors.Is(err, errNoRoom):
+		cr.w.Header().Set("Connection", "close")
+		cr.respond(op.Respond{Status: http.StatusServiceUnavailable, Reason: op.Overloaded, Outcome: unit.NotRun, RetryAfter: bodyRetryAfter})
+	default:
+		cr.w.Header().Set("Connection", "close")
+		cr.respond(op.Respond{Status: http.StatusRequestTimeout, Reason: op.BodyIncomplete, Outcome: unit.NotRun})
+	}
+}
+
+// bodyLimit returns the longest body that is accepted, in bytes.
+func (p *Process) bodyLimit() int64 {
+	limit := int64(defaultBodyLimit)
+	p.withState(func(_ clock.Millis, s *State) {
+		if s.Table != nil && s.Table.Limits.BodyBytes > 0 {
+			limit = int64(s.Table.Limits.BodyBytes)
+		}
+	})
+	return limit
+}
+
+// read reads a body of at most limit bytes. length is -1 if it is not known; a body
+// that turns out not to be small then needs room for two of the longest.
+func (b bodyBudget) read(ctx context.Context, r io.Reader, length, limit int64) (body []byte, release func(), err error) {
+	if length < 0 {
+		return b.readUnsized(ctx, r, limit)
+	}
+	if length > limit {
+		return nil, nil, &http.MaxBytesError{Limit: limit}
+	}
+	if release, err = b.acquire(ctx, length); err != nil {
+		return nil, nil, err
+	}
+	body = make([]byte, length)
+	if _, err = io.ReadFull(r, body); err != nil {
+		release()
+		return nil, nil, fmt.Errorf("read body: %w", err)
+	}
+	return body, release, nil
+}
+
+// readUnsized reads a body whose length is not known.
+func (b bodyBudget) readUnsized(ctx context.Context, r io.Reader, limit int64) (body []byte, release func(), err error) {
+	if body, err = io.ReadAll(io.LimitReader(r, smallBody)); err != nil {
+		return nil, nil, fmt.Errorf("read body: %w", err)
+	}
+	if len(body) < smallBody {
+		return body, func() {}, nil
+	}
+	// A buffer that grows is copied.
+	if release, err = b.acquire(ctx, 2*limit); err != nil {
+		return nil, nil, err
+	}
+	rest, err := io.ReadAll(r)
+	if err != nil {
+		release()
+		return nil, nil, fmt.Errorf("read body: %w", err)
+	}
+	return append(body, rest...), release, nil
+}
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -60,6 +60,7 @@
 	metrics     *metrics.Set
 	contents    *contentStore
 	transport   *peerTransport
+	bodies      bodyBudget
 	// mu guards state. Events are applied one at a time.
 	mu    sync.Mutex
 	state *State
@@ -92,6 +93,7 @@
 	self := unit.Incarnation(fmt.Sprintf("%s#%020d", environment.Instance, time.Now().UnixMicro()))
 	p := &Process{
 		environment: environment, deps: deps, clock: c, contents: newContentStore(), relay: relay,
+		bodies:  newBodyBudget(environment.Memory),
 		log:     log.WithFields(logrus.Fields{"Instance": environment.Instance}),
 		state:   NewState(environment, self, c.Now()),
 		mirrors: map[string]*mirror{deps.Kinds.Configuration: newMirror(), deps.Kinds.Targets: newMirror()},
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
@@ -20,12 +19,6 @@
 )
 
 const (
-	// defaultBodyLimit bounds request bodies until a configuration is known, in
-	// bytes.
-	defaultBodyLimit = 32 << 20
-	// bodyReadTimeout bounds the time to read a request body. Callers that keep
-	// to the configured limits send faster.
-	bodyReadTimeout = 10 * time.Second
 	// maxBufferedReply is the longest reply that is read completely before it is
 	// forwarded, in bytes. If such a reply breaks off, another attempt can
 	// replace it.
@@ -70,9 +63,11 @@
 		p: p, id: op.CallID(p.nextID.Add(1)), mailbox: make(chan op.Effect, mailboxSize), w: w, r: r,
 		headers: p.deps.Ingress.ParseHeaders(r.Header), startedAt: p.clock.Now(),
 	}
-	if !cr.readBody() {
+	release, ok := cr.readBody()
+	if !ok {
 		return
 	}
+	defer release()
 	p.mailboxes.Store(cr.id, cr.mailbox)
 	defer p.mailboxes.Delete(cr.id)
 	call := p.deps.Ingress.ParseJobCall(r)
@@ -92,38 +87,6 @@
 	return unit.Fingerprint(h.Sum64())
 }
 
-// readBody reads the body within the configured limit. If that fails, it
-// answers the caller and returns false.
-func (cr *callerRequest) readBody() bool {
-	limit := int64(defaultBodyLimit)
-	cr.p.withState(func(_ clock.Millis, s *State) {
-		if s.Table != nil && s.Table.Limits.BodyBytes > 0 {
-			limit = int64(s.Table.Limits.BodyBytes)
-		}
-	})
-	rc := http.NewResponseController(cr.w)
-	if cr.r.ContentLength != 0 {
-		// Where deadlines are not supported, the server's own timeout applies.
-		_ = rc.SetReadDeadline(time.Now().Add(bodyReadTimeout))
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(cr.w, cr.r.Body, limit))
-	if cr.r.ContentLength != 0 {
-		_ = rc.SetReadDeadline(time.Time{})
-	}
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		cr.respond(op.Respond{Status: http.StatusRequestEntityTooLarge, Reason: op.BadJob, Outcome: unit.NotRun})
-		return false
-	case err != nil:
-		cr.w.Header().Set("Connection", "close")
-		cr.respond(op.Respond{Status: http.StatusRequestTimeout, Reason: op.BodyIncomplete, Outcome: unit.NotRun})
-		return false
-	}
-	cr.body = body
-	return true
-}
-
 // serve carries out the effects of the request until its last one, or until the
 // caller disconnects.
 func (cr *callerRequest) serve(call platform.JobRequest) {
