--- a/internal/edge/explore_rules_test.go
+++ b/internal/edge/explore_rules_test.go
@@ -34,14 +34,34 @@
 			return fmt.Sprintf("%s: %q", wrong, r.Text)
 		}
 	}
+	for _, t := range x.storedTexts().texts {
+		if wrong := x.wrongEvents(t.events); wrong != "" {
+			return fmt.Sprintf("%s, as a new owner reads it: %q", wrong, t.events)
+		}
+	}
 	return ""
 }
 
+// storedTexts returns the job as a new owner reads it.
+func (x *explorer) storedTexts() *jobContent {
+	c := newJobContent(jobRecord{Route: "r", Pool: "p"}, testItems(exploredItems))
+	for n, chunk := range x.chunks {
+		c.addChunk(n, chunk)
+	}
+	return c
+}
+
 // wrongText returns how a text breaks a rule, empty if it does not.
 func (x *explorer) wrongText(events []string) string {
 	if len(events) != exploredEvents {
 		return "MIXED: a text is not the whole output"
 	}
+	return x.wrongEvents(events)
+}
+
+// wrongEvents returns how the first events of a text break a rule, empty if they do
+// not.
+func (x *explorer) wrongEvents(events []string) string {
 	last := ""
 	for n, event := range events {
 		name, id, _ := strings.Cut(event, ":")
@@ -69,6 +89,11 @@
 			return wrong
 		}
 	}
+	return x.finish()
+}
+
+// finish lets everything go on without faults and returns what is wrong in the end.
+func (x *explorer) finish() string {
 	x.lateWrites = nil
 	x.settle()
 	if wrong := x.violation(); wrong != "" {
@@ -102,6 +127,8 @@
 	}{
 		// A run began where the reducer believed, not where the text ended.
 		"item can never be run": {[]int{41, 101, 8}, playOrder},
+		// A continued text kept the lineage of its former owner.
+		"late write of a dead owner": {[]int{0, 101, 104, 36, 36, 41, 90, 36, 103, 47, 64, 36, 36, 90, 90, 41, 41}, playOrder},
 		// The wait for turns did not count late calls of its own.
 		"holder acts again after a late call": {[]int{11, 12, 8, 29, 9, 0, 0, 0, 0, 0, 24}, playLeaseOrder},
 	}
