--- a/internal/edge/repeat.go
+++ b/internal/edge/repeat.go
@@ -86,13 +86,11 @@
 	if other.Step <= j.job.Step {
 		return nil
 	}
-	var out []int
-	for _, it := range other.Items {
-		if i, ok := j.index[it.ID]; ok {
-			out = append(out, i)
-		}
+	ids := make([]string, len(other.Items))
+	for i, it := range other.Items {
+		ids[i] = it.ID
 	}
-	return out
+	return j.positions(ids)
 }
 
 // findJob returns a job from memory, or from the store. The error wraps
--- a/internal/edge/repeat_test.go
+++ b/internal/edge/repeat_test.go
@@ -75,6 +75,7 @@
 	p.apply(op.HeartbeatReceived{Heartbeat: op.Heartbeat{
 		Instance: "b", Incarnation: "b#1", Seq: seq, Jobs: []op.JobStatus{{ID: job, Epoch: 1, Series: series}},
 	}})
+	p.apply(op.Tick{})
 }
 
 // running returns how many items this instance runs.
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -183,7 +183,6 @@
 		s.Metering.Reduce(now, ev, s.meteringView(now), out)
 	case op.HeartbeatReceived:
 		s.heartbeatReceived(now, e.Heartbeat, out)
-		s.compareSeries(out)
 	case op.PeersListed:
 		if s.Heartbeats.AddPeers(e.Peers) {
 			s.nextHeartbeatAt = now
