edge: a takeover compares all newer jobs of a series

Soak (a takeover after kills; the new caller that trains steps): items of a step ran again at a new owner 3.7 s after the later step had ended. Cause, from its logs: 'job taken over' has Repeated 0, since only the three newest jobs of the series were compared, other trainers had submitted newer ones, and the rest counted as compared.

Change: up to 16 are compared before the takeover, and what is left out is compared afterwards.

--- a/internal/edge/repeat.go
+++ b/internal/edge/repeat.go
@@ -27,8 +27,9 @@
 	comparePause = 500 * time.Millisecond
 	// maxCompareTries is how often such a job is read at most.
 	maxCompareTries = 20
-	// maxLaterJobs is how many jobs of a series are compared when a job is taken over.
-	maxLaterJobs = 3
+	// maxLaterJobs is how many jobs of a series are compared before a job that is taken
+	// over starts: the newest ones. A series may have several trainers.
+	maxLaterJobs = 16
 )
 
 // compareSeries asks to compare the open jobs of this instance with the jobs of their
@@ -123,18 +124,21 @@
 }
 
 // markRepeated adds to a job that is being taken over which of its items later jobs
-// run, so that they are not started first. Jobs that cannot be read now are compared
-// once this instance owns the job.
+// run, so that they are not started first. Jobs beyond maxLaterJobs, and those that
+// cannot be read now, are compared once this instance owns the job.
 func (p *Process) markRepeated(ctx context.Context, c *jobContent, gained *op.JobOwnershipGained) {
 	var all []string
 	p.withState(func(_ clock.Millis, s *State) { all = s.Heartbeats.SeriesJobs(c.series()) })
-	first := max(slices.Index(all, c.job.ID)+1, len(all)-maxLaterJobs)
-	gained.Compared = len(all)
+	gained.Compared = slices.Index(all, c.job.ID) + 1
+	first := max(gained.Compared, len(all)-maxLaterJobs)
+	if first == gained.Compared {
+		gained.Compared = len(all)
+	}
 	for n, id := range all[first:] {
 		other, err := p.findJob(ctx, id)
 		if err != nil && !errors.Is(err, platform.ErrNotFound) {
 			p.log.WithFields(logrus.Fields{"Job": c.job.ID, "Other": id, "Error": err.Error()}).Info("jobs of a series not compared")
-			gained.Compared = first + n
+			gained.Compared = min(gained.Compared, first+n)
 			return
 		}
 		gained.Repeated = append(gained.Repeated, c.repeatedBy(other)...)
