heartbeat: a peer owns a job only while its latest heartbeat lists it

Cause: the instance that stored the step recorded the killed peer as its owner, since the peer's last heartbeat listed the step as run ahead. Jobs that a heartbeat no longer lists were released only if the owned jobs in it had changed; before and after the restart there were none.

Change: the comparison includes the process and the jobs run ahead.

--- a/internal/edge/orphan_test.go
+++ b/internal/edge/orphan_test.go
@@ -6,6 +6,7 @@
 	"github.com/catkinhead/catkinhead/internal/op"
 	"github.com/catkinhead/catkinhead/pkg/clock"
 	"github.com/catkinhead/catkinhead/pkg/platform"
+	"github.com/catkinhead/catkinhead/pkg/unit"
 )
 
 // ownerState returns the state of an instance that owns job j under epoch 2. It
@@ -46,3 +47,76 @@
 		t.Error("no instance took the job over")
 	}
 }
+
+// TestJobOfPeerThatStoppedRunningItAheadIsTakenOver guards against an accepted job that
+// nobody runs (LOST): it was run ahead by a peer that lists it no more, although the
+// peer is alive again or still alive.
+func TestJobOfPeerThatStoppedRunningItAheadIsTakenOver(t *testing.T) {
+	// peer runs job j ahead. self ranks first for the job.
+	const peer unit.Instance = "peer"
+	heartbeat := func(incarnation unit.Incarnation, seq int64, ahead ...string) op.HeartbeatReceived {
+		return op.HeartbeatReceived{Heartbeat: op.Heartbeat{Instance: peer, Incarnation: incarnation, Seq: seq, Next: 250, Ahead: ahead}}
+	}
+	tests := map[string]struct {
+		// before are the heartbeats before the job is found in the store, after those
+		// that follow.
+		before, after []op.HeartbeatReceived
+		want          bool
+	}{
+		"killed and restarted at once": {
+			[]op.HeartbeatReceived{heartbeat("peer#1", 1, "j")},
+			[]op.HeartbeatReceived{heartbeat("peer#2", 1)}, true,
+		},
+		"restarted twice": {
+			[]op.HeartbeatReceived{heartbeat("peer#1", 1, "j")},
+			[]op.HeartbeatReceived{heartbeat("peer#2", 1), heartbeat("peer#3", 1)}, true,
+		},
+		"late datagram of the killed process": {
+			[]op.HeartbeatReceived{heartbeat("peer#1", 1, "j")},
+			[]op.HeartbeatReceived{heartbeat("peer#2", 1), heartbeat("peer#1", 2, "j"), heartbeat("peer#2", 2)}, true,
+		},
+		"given up by the same process": {
+			[]op.HeartbeatReceived{heartbeat("peer#1", 1, "j")},
+			[]op.HeartbeatReceived{heartbeat("peer#1", 2)}, true,
+		},
+		"restarted before the job was found": {
+			[]op.HeartbeatReceived{heartbeat("peer#1", 1, "j"), heartbeat("peer#2", 1)},
+			[]op.HeartbeatReceived{heartbeat("peer#2", 2)}, true,
+		},
+		"still run ahead": {
+			[]op.HeartbeatReceived{heartbeat("peer#1", 1, "j")},
+			[]op.HeartbeatReceived{heartbeat("peer#1", 2, "j")}, false,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := NewState(platform.Environment{Instance: "self"}, "self#1", 1)
+			s.Table = testTable()
+			now := clock.Millis(100)
+			for _, h := range tt.before {
+				s.Reduce(now, h)
+				now += 100
+			}
+			s.Reduce(now, op.StoredJobFound{Job: "j"})
+			for _, h := range tt.after {
+				now += 100
+				s.Reduce(now, h)
+			}
+			// The peer goes on listing the same.
+			last := tt.after[len(tt.after)-1]
+			taken := false
+			for range 5 {
+				taken = taken || tookOver(s, now, now+200)
+				now += 250
+				last.Heartbeat.Seq++
+				s.Reduce(now, last)
+			}
+			if !s.Heartbeats.RanksFirst(now, "j") {
+				t.Fatal("the peer ranks first for the job: the test needs other names")
+			}
+			if taken != tt.want {
+				t.Errorf("taken over: %t, want %t", taken, tt.want)
+			}
+		})
+	}
+}
--- a/internal/heartbeat/heartbeat.go
+++ b/internal/heartbeat/heartbeat.go
@@ -225,8 +225,14 @@
 	for _, id := range h.Orphans {
 		s.AddStoredJob(id)
 	}
-	if old == nil || !slices.Equal(old.Jobs, h.Jobs) {
+	if old == nil || !old.listsSameJobs(h) {
 		s.releaseUnlisted(h)
 	}
 	return lost
 }
+
+// listsSameJobs reports whether a newer heartbeat comes from the same process and
+// lists the same jobs, so that none of them has lost its owner.
+func (p *Peer) listsSameJobs(h op.Heartbeat) bool {
+	return p.Incarnation == h.Incarnation && slices.Equal(p.Jobs, h.Jobs) && slices.Equal(p.Ahead, h.Ahead)
+}
--- a/internal/heartbeat/jobs.go
+++ b/internal/heartbeat/jobs.go
@@ -27,7 +27,8 @@
 
 // jobState is what this instance knows about a job of the fleet.
 type jobState struct {
-	// owner is empty if the job has no owner, or none that is known.
+	// owner is empty if the job has no owner, or none that is known. A peer is the
+	// owner only while its latest heartbeat lists the job.
 	owner unit.Instance
 	// epoch is the highest owner epoch that is known.
 	epoch unit.Epoch
