link: one silent connection tells of the idle ones that are older

Cause: a request without an answer closed its own connection only. The next attempt took the next kept connection, which was silent too, 1.5 s each.

Change: a request that ends before its answer is whole, on a connection that brought no byte for 200 ms, makes the client close its idle connections if any of them has brought nothing since that connection went silent.

--- a/internal/serve/peer_client.go
+++ b/internal/serve/peer_client.go
@@ -44,9 +44,7 @@
 	return &peerClients{
 		bytes:  n,
 		header: http.Header{secretHeader: {secret}},
-		http: &http.Client{Transport: &http.Transport{
-			DialContext: link.CountingDial(n), MaxIdleConnsPerHost: 2, MaxIdleConns: maxIdlePeerConns, IdleConnTimeout: idleConnTimeout,
-		}},
+		http: link.NewKeepingClient(link.Idle{PerHost: 2, Total: maxIdlePeerConns, Timeout: idleConnTimeout}, n),
 		byAddress: make(map[string]rpc.Peer),
 	}
 }
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -9,6 +9,7 @@
 
 	"github.com/twitchtv/twirp"
 
+	"github.com/catkinhead/catkinhead/pkg/platform/link"
 	"github.com/catkinhead/catkinhead/pkg/rpc"
 )
 
@@ -91,7 +92,7 @@
 // returns an error.
 func (c *Client) Run(ctx context.Context, step Step, handler func(*rpc.Sample) error) (Report, error) {
 	if c.http == nil {
-		c.http = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConnections}}
+		c.http = link.NewClient(maxIdleConnections, true, nil)
 	}
 	r := &stepRun{c: c, step: step, handler: handler, delivered: make(map[int32]*rpc.Held)}
 	for {
--- a/pkg/platform/link/write_tracker.go
+++ b/pkg/platform/link/write_tracker.go
@@ -3,10 +3,11 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
+
+	"github.com/catkinhead/catkinhead/pkg/clock"
 )
 
 // countingConn is a connection that counts the bytes written to the kernel. If
@@ -15,11 +16,31 @@
 	net.Conn
 	written atomic.Int64
 	total   *atomic.Int64
+	// kept lists the connection while it is open, nil if it is not listed.
+	kept *keptConns
+	// readAt is when the last byte was read, at first when the connection was opened,
+	// in milliseconds by clock.System. idle is set while it carries no request.
+	readAt atomic.Int64
+	idle   atomic.Bool
+}
+
+// dialTimeout bounds the time to open a connection.
+const dialTimeout = 2 * time.Second
+
+// Close closes the connection.
+func (c *countingConn) Close() error {
+	if c.kept != nil {
+		c.kept.remove(c)
+	}
+	return c.Conn.Close()
 }
 
 // Read reads into b and adds the number of bytes to the total.
 func (c *countingConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.readAt.Store(int64(clock.System{}.Now()))
+	}
 	c.add(n)
 	return n, err
 }
@@ -71,33 +92,13 @@
 	return w.conn != nil && w.conn.written.Load() > w.writtenBefore
 }
 
-// CountingDial returns a dial function whose connections add the bytes that
-// they read and write to total, which may be nil.
-func CountingDial(total *atomic.Int64) func(context.Context, string, string) (net.Conn, error) {
-	return func(ctx context.Context, network, addr string) (net.Conn, error) {
-		conn, err := (&net.Dialer{Timeout: 2 * time.Second}).DialContext(ctx, network, addr)
-		if err != nil {
-			return nil, err
-		}
-		return &countingConn{Conn: conn, total: total}, nil
+// dialCounting opens a connection that counts its bytes.
+func dialCounting(ctx context.Context, network, address string, total *atomic.Int64) (*countingConn, error) {
+	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
 	}
-}
-
-// maxHeaderBytes bounds the head of a response, in bytes.
-const maxHeaderBytes = 64 << 10
-
-// NewClient returns an HTTP client whose connections count the bytes written,
-// and add the bytes read and written to total, which may be nil. It keeps up to
-// idlePerHost idle connections to each host; without keepAlive, each request gets
-// a new connection.
-func NewClient(idlePerHost int, keepAlive bool, total *atomic.Int64) *http.Client {
-	return &http.Client{CheckRedirect: noRedirects, Transport: &http.Transport{
-		DialContext:         CountingDial(total),
-		MaxIdleConnsPerHost: idlePerHost,
-		MaxIdleConns:        2048,
-		IdleConnTimeout:     30 * time.Second,
-		DisableKeepAlives:   !keepAlive,
-
-		MaxResponseHeaderBytes: maxHeaderBytes,
-	}}
+	c := &countingConn{Conn: conn, total: total}
+	c.readAt.Store(int64(clock.System{}.Now()))
+	return c, nil
 }
