forward: calls about jobs need no route

Cause: a call about a job was refused with 404 unless the present configuration had a route for the call's host. That says nothing about the job, which the store knows.

Evidence: record of the case; TestCallsAboutJobsNeedNoRoute, three of six rows failed before.

Change: such a call needs a valid key only.

--- a/internal/edge/orphan_test.go
+++ b/internal/edge/orphan_test.go
@@ -65,27 +65,33 @@
 	}{
 		"killed and restarted at once": {
 			[]op.HeartbeatReceived{heartbeat("peer#1", 1, "j")},
-			[]op.HeartbeatReceived{heartbeat("peer#2", 1)}, true,
+			[]op.HeartbeatReceived{heartbeat("peer#2", 1)},
+			true,
 		},
 		"restarted twice": {
 			[]op.HeartbeatReceived{heartbeat("peer#1", 1, "j")},
-			[]op.HeartbeatReceived{heartbeat("peer#2", 1), heartbeat("peer#3", 1)}, true,
+			[]op.HeartbeatReceived{heartbeat("peer#2", 1), heartbeat("peer#3", 1)},
+			true,
 		},
 		"late datagram of the killed process": {
 			[]op.HeartbeatReceived{heartbeat("peer#1", 1, "j")},
-			[]op.HeartbeatReceived{heartbeat("peer#2", 1), heartbeat("peer#1", 2, "j"), heartbeat("peer#2", 2)}, true,
+			[]op.HeartbeatReceived{heartbeat("peer#2", 1), heartbeat("peer#1", 2, "j"), heartbeat("peer#2", 2)},
+			true,
 		},
 		"given up by the same process": {
 			[]op.HeartbeatReceived{heartbeat("peer#1", 1, "j")},
-			[]op.HeartbeatReceived{heartbeat("peer#1", 2)}, true,
+			[]op.HeartbeatReceived{heartbeat("peer#1", 2)},
+			true,
 		},
 		"restarted before the job was found": {
 			[]op.HeartbeatReceived{heartbeat("peer#1", 1, "j"), heartbeat("peer#2", 1)},
-			[]op.HeartbeatReceived{heartbeat("peer#2", 2)}, true,
+			[]op.HeartbeatReceived{heartbeat("peer#2", 2)},
+			true,
 		},
 		"still run ahead": {
 			[]op.HeartbeatReceived{heartbeat("peer#1", 1, "j")},
-			[]op.HeartbeatReceived{heartbeat("peer#1", 2, "j")}, false,
+			[]op.HeartbeatReceived{heartbeat("peer#1", 2, "j")},
+			false,
 		},
 	}
 	for name, tt := range tests {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -188,7 +188,8 @@
 }
 
 // forwardToOwner forwards a call about a job to the peer that owns the job.
-// Status 0 means that there is no such peer, or that it gave no answer.
+// Status 0 means that there is no such peer, or that it gave no answer. That there is
+// no such job is for the store to say, not for what answers at the owner's address.
 func (p *Process) forwardToOwner(ctx context.Context, w unit.Workspace, call platform.JobRequest, wait clock.Millis) jobAnswer {
 	var address string
 	p.withState(func(now clock.Millis, s *State) {
@@ -227,7 +228,7 @@
 		p.log.WithFields(logrus.Fields{"Job": call.Job, "Owner": address, "Error": err.Error()}).Warn("answer of the owner is not complete")
 		return jobAnswer{}
 	}
-	if res.StatusCode == http.StatusGone {
+	if res.StatusCode == http.StatusGone || res.StatusCode == http.StatusNotFound {
 		return jobAnswer{}
 	}
 	return jobAnswer{status: res.StatusCode, body: body}
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -19,6 +19,9 @@
 const (
 	// relayPath is the path under which peers accept calls to the store.
 	relayPath = "/v1/store/"
+	// relayedHeader is set on each answer that a peer passes on from the store. Another
+	// process at the peer's address does not speak for the store.
+	relayedHeader = "Catkinhead-Relayed"
 	// relayDuration is how long calls go through peers after a direct call to the
 	// store failed or was answered with status 429 or 503. It doubles with each
 	// consecutive failure, up to maxRelayDuration.
@@ -90,6 +93,10 @@
 	return res, err
 }
 
+// errNotRelayed means that an answer with any status, 404 too, does not come from the
+// store.
+var errNotRelayed = errors.New("answer is not one of the store")
+
 // callPeer makes a call through a peer. If that fails, the next call is made
 // directly.
 func (r *Relay) callPeer(req *http.Request, peer string) (*http.Response, error) {
@@ -99,6 +106,11 @@
 		r.relayUntil.Store(0)
 		return nil, fmt.Errorf("call store through %s: %w", peer, err)
 	}
+	if res.Header.Get(relayedHeader) == "" {
+		r.relayUntil.Store(0)
+		res.Body.Close()
+		return nil, fmt.Errorf("call store through %s: %w", peer, errNotRelayed)
+	}
 	if !waitsForChanges(req) {
 		r.recordAnswer(r.clock.Now() - startedAt)
 	}
@@ -237,6 +249,7 @@
 		}
 		defer res.Body.Close()
 		w.Header().Set("Content-Type", "application/json")
+		w.Header().Set(relayedHeader, "1")
 		w.WriteHeader(res.StatusCode)
 		if _, err := io.Copy(w, res.Body); err != nil {
 			link.AbortAnswer(w, in)
--- a/internal/edge/store_test.go
+++ b/internal/edge/store_test.go
@@ -207,7 +207,7 @@
 		if fails {
 			return nil, errors.New("reset")
 		}
-		return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(strings.NewReader(r.URL.Opaque))}, nil
+		return relayedAnswer(r.URL.Opaque), nil
 	})
 	relay := NewRelay(clock.System{}, "store:1", direct)
 	relay.livePeers = func() []string { return []string{"peer:2"} }
@@ -255,7 +255,28 @@
 			return nil, r.Context().Err()
 		}
 		time.Sleep(peerDelay)
-		return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(strings.NewReader(""))}, nil
+		return relayedAnswer(""), nil
+	}
+}
+
+// relayedAnswer returns an answer of the store that a peer passes on.
+func relayedAnswer(body string) *http.Response {
+	return &http.Response{
+		StatusCode: http.StatusOK, Header: http.Header{relayedHeader: {"1"}}, Body: io.NopCloser(strings.NewReader(body)),
+	}
+}
+
+// TestAnswerOfAnotherProcessIsNotTheStores guards against "no such job" (LOST) and "exists
+// already" from whatever answers at the address of a peer that is gone.
+func TestAnswerOfAnotherProcessIsNotTheStores(t *testing.T) {
+	for _, status := range []int{http.StatusOK, http.StatusNotFound, http.StatusConflict, http.StatusGone} {
+		other := roundTripper(func(*http.Request) (*http.Response, error) {
+			return &http.Response{StatusCode: status, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("{}"))}, nil
+		})
+		relay := NewRelay(clock.System{}, "store:1", other)
+		if res, err := relay.callPeer(relayRequest(t), "peer:2"); !errors.Is(err, errNotRelayed) {
+			t.Errorf("status %d was believed: %v, %v", status, res, err)
+		}
 	}
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -97,9 +97,10 @@
 
 // handleRequest authenticates a new request, matches it to a rule, and serves it
 // as a call about an existing job, a job submission or a request to be forwarded.
-// A call about an existing job needs no matching rule, only a host that has one.
-// But if it matches a rule that is not for jobs and whose path prefix is not "/",
-// it is forwarded like any other request of that route.
+// A call about an existing job needs no matching rule and no host that has one: jobs
+// outlive their routes, and only the store knows whether there is such a job. But if
+// the call matches a rule that is not for jobs and whose path prefix is not "/", it is
+// forwarded like any other request of that route.
 func (s *State) handleRequest(now clock.Millis, e op.RequestReceived, v View, out *op.List) {
 	refuse := func(status int, why op.Reason, after clock.Millis) {
 		out.Add(op.Respond{
@@ -111,7 +112,8 @@
 		return
 	}
 	rule, ok := v.Table.Match(e.Host, e.Path)
-	if !ok && !(e.Batch && v.Table.HasHost(e.Host)) {
+	jobCall := e.Batch && (!ok || rule.Repeat == platform.Batch || rule.PathPrefix == "/")
+	if !ok && !jobCall {
 		refuse(http.StatusNotFound, op.NoRoute, 0)
 		return
 	}
@@ -120,7 +122,6 @@
 		refuse(http.StatusUnauthorized, op.BadKey, 0)
 		return
 	}
-	jobCall := e.Batch && (!ok || rule.Repeat == platform.Batch || rule.PathPrefix == "/")
 	limit, expected := timeLimit(e.Head.Left, rule.Timeout), s.expectedDuration(rule.Name)
 	if jobCall || rule.Repeat == platform.Batch {
 		limit, expected = v.Stop.JobTime, v.Stop.JobTime
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -93,6 +93,45 @@
 	}
 }
 
+// TestCallsAboutJobsNeedNoRoute guards against "no such job" for an accepted job whose
+// route or host was removed (LOST).
+func TestCallsAboutJobsNeedNoRoute(t *testing.T) {
+	tests := map[string]struct {
+		host, path, key string
+		// want is the status of a refusal, 0 for a call that is served.
+		want int
+	}{
+		"host without routes":     {"gone", "/results/j", "k", 0},
+		"host with other routes":  {"h", "/results/j", "k", 0},
+		"path of a job route":     {"h", "/jobs/j", "k", 0},
+		"unknown key":             {"gone", "/results/j", "z", http.StatusUnauthorized},
+		"no key":                  {"gone", "/results/j", "", http.StatusUnauthorized},
+		"path of a service route": {"h", "/safe/j", "z", http.StatusUnauthorized},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var out op.List
+			received := op.RequestReceived{Call: 1, Host: tt.host, Path: tt.path, Batch: true, Head: platform.RequestHeaders{Key: tt.key}}
+			(&State{}).Reduce(0, received, view("a"), &out)
+			if len(out) != 1 {
+				t.Fatalf("got %v", out)
+			}
+			switch e := out[0].(type) {
+			case op.ServeJobCall:
+				if tt.want != 0 || e.Workspace != "w" {
+					t.Errorf("got %+v, want status %d", e, tt.want)
+				}
+			case op.Respond:
+				if e.Status != tt.want {
+					t.Errorf("got status %d, want %d", e.Status, tt.want)
+				}
+			default:
+				t.Errorf("got %T", e)
+			}
+		})
+	}
+}
+
 func TestAttempts(t *testing.T) {
 	type end struct {
 		outcome unit.Outcome
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -48,9 +48,6 @@
 	return best, found
 }
 
-// HasHost reports whether any route is for the host.
-func (t *Table) HasHost(host string) bool { return len(t.byHost[hostName(host)]) > 0 }
-
 // RouteByName returns the rule with a name, and whether there is one.
 func (t *Table) RouteByName(name unit.Route) (platform.RouteRule, bool) {
 	r, ok := t.byName[name]
--- a/internal/serve/peer_client.go
+++ b/internal/serve/peer_client.go
@@ -42,9 +42,9 @@
 func newPeerClients(secret string) *peerClients {
 	n := &atomic.Int64{}
 	return &peerClients{
-		bytes:  n,
-		header: http.Header{secretHeader: {secret}},
-		http: link.NewKeepingClient(link.Idle{PerHost: 2, Total: maxIdlePeerConns, Timeout: idleConnTimeout}, n),
+		bytes:     n,
+		header:    http.Header{secretHeader: {secret}},
+		http:      link.NewKeepingClient(link.Idle{PerHost: 2, Total: maxIdlePeerConns, Timeout: idleConnTimeout}, n),
 		byAddress: make(map[string]rpc.Peer),
 	}
 }
