batch: items go to the pools that their route leads to now

Cause: the pool of the moment of the submission was stored with the job, and items were placed in that pool alone.

Change: a job has no pool. Placement, moves from slow targets and reward calls ask route.Pools for the pools in force; weights count as for callers' requests, 0 gets none. The times at which a job is due and given up follow the route in force too.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -64,7 +64,7 @@
 	Cooldowns map[targetModel]*cooldown
 	// lastRun is the number of the latest run or attempt of a reward call.
 	lastRun int64
-	// split picks the pools of reward calls.
+	// split picks the pools of items and reward calls.
 	split route.Splitter
 }
 
@@ -136,6 +136,7 @@
 	s.evictClosed(now, v, out)
 	jobs := s.openJobs()
 	for _, j := range jobs {
+		j.followRoute(v)
 		s.giveUpOverdue(now, j, v, out)
 	}
 	if v.Draining {
@@ -215,15 +216,9 @@
 	slices.SortStableFunc(j.Order, func(a, b int) int {
 		return cmp.Compare(j.Items[b].Expected, j.Items[a].Expected)
 	})
-	j.GiveUpAt = 1 << 62
-	if v.Table != nil {
-		if r, ok := v.Table.RouteByName(e.Shape.Route); ok {
-			j.DueAt = now - e.Shape.Age + r.DueAfter
-			if r.GiveUpAfter > 0 {
-				j.GiveUpAt = now - e.Shape.Age + r.GiveUpAfter
-			}
-		}
-	}
+	j.SubmittedAt = now - e.Shape.Age
+	j.DueAt, j.GiveUpAt = j.SubmittedAt, never
+	j.followRoute(v)
 	s.Jobs[e.Shape.ID] = j
 	// The runner has just read these chunks, so their effects are discarded.
 	var discarded op.List
@@ -251,6 +246,22 @@
 	j.Claimed = j.Claimed || j.Ended
 }
 
+// followRoute sets the times of a job to those that its route has now. While the
+// configuration has no such route they stay as they are.
+func (j *Job) followRoute(v View) {
+	if v.Table == nil {
+		return
+	}
+	rule, ok := v.Table.RouteByName(j.Route)
+	if !ok {
+		return
+	}
+	j.DueAt, j.GiveUpAt = j.SubmittedAt+rule.DueAfter, never
+	if rule.GiveUpAfter > 0 {
+		j.GiveUpAt = j.SubmittedAt + rule.GiveUpAfter
+	}
+}
+
 // dropJob stops all runs of a job and removes it from the state.
 func (s *State) dropJob(id string, v View, out *op.List) {
 	j := s.Jobs[id]
--- a/internal/batch/batch_test.go
+++ b/internal/batch/batch_test.go
@@ -58,7 +58,7 @@
 		items[i].Model = "m"
 	}
 	f.apply(op.JobOwnershipGained{Epoch: 1, Shape: op.JobShape{
-		ID: "j", Route: "r", Pool: "p", MinVersion: minVersion, WantGroups: 1, Items: items,
+		ID: "j", Route: "r", MinVersion: minVersion, WantGroups: 1, Items: items,
 	}})
 }
 
@@ -187,7 +187,7 @@
 func TestItemsDoneByEarlierJobAreListedWithoutRun(t *testing.T) {
 	f := newFixture(target("t", 9, 1))
 	f.apply(op.JobOwnershipGained{
-		Shape: op.JobShape{ID: "j", Route: "r", Pool: "p", MinVersion: 1, Items: []op.ItemShape{{Model: "m"}, {Model: "m"}, {Model: "m"}}},
+		Shape: op.JobShape{ID: "j", Route: "r", MinVersion: 1, Items: []op.ItemShape{{Model: "m"}, {Model: "m"}, {Model: "m"}}},
 		Epoch: 1, Whole: []int{1}, Saved: map[int]int64{2: 40},
 	})
 	if len(f.runs) != 2 || f.runs[0].Item != 0 || f.runs[1].Item != 2 || f.runs[1].After != 40 {
@@ -361,7 +361,7 @@
 func TestJobAheadOfItsStorage(t *testing.T) {
 	f := newFixture(target("t", 4, 1))
 	f.apply(op.JobOwnershipGained{Epoch: 3, Ahead: true, Shape: op.JobShape{
-		ID: "j", Route: "r", Pool: "p", MinVersion: 1, Items: []op.ItemShape{{Model: "m"}},
+		ID: "j", Route: "r", MinVersion: 1, Items: []op.ItemShape{{Model: "m"}},
 	}})
 	if len(f.runs) != 1 {
 		t.Fatalf("%d runs", len(f.runs))
@@ -383,7 +383,7 @@
 func TestDrainingInstanceDropsJobAheadOfItsStorage(t *testing.T) {
 	f := newFixture(target("t", 4, 1))
 	f.apply(op.JobOwnershipGained{Epoch: 3, Ahead: true, Shape: op.JobShape{
-		ID: "j", Route: "r", Pool: "p", MinVersion: 1, Items: []op.ItemShape{{Model: "m"}},
+		ID: "j", Route: "r", MinVersion: 1, Items: []op.ItemShape{{Model: "m"}},
 	}})
 	f.view.Draining = true
 	f.apply(op.Tick{})
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -84,6 +84,8 @@
 	// none is written before RetryAt.
 	Writing           bool
 	AppendAt, RetryAt clock.Millis
+	// SubmittedAt is when the job was first submitted.
+	SubmittedAt clock.Millis
 	// DueAt is when all results are due; jobs that are due earlier get free slots
 	// first. GiveUpAt is when unfinished items are given up.
 	DueAt, GiveUpAt clock.Millis
--- a/internal/batch/placement.go
+++ b/internal/batch/placement.go
@@ -9,7 +9,9 @@
 
 	"github.com/catkinhead/catkinhead/internal/op"
 	"github.com/catkinhead/catkinhead/internal/roster"
+	"github.com/catkinhead/catkinhead/internal/route"
 	"github.com/catkinhead/catkinhead/pkg/clock"
+	"github.com/catkinhead/catkinhead/pkg/platform"
 	"github.com/catkinhead/catkinhead/pkg/unit"
 )
 
@@ -38,14 +40,31 @@
 // not slow.
 func (s *State) freeSlots(now clock.Millis, j *Job, it *Item, v View) int {
 	n := 0
-	for _, t := range v.Roster.Usable(j.Pool) {
-		if s.canRun(now, j, it, t) && !t.Slow(now) {
-			n += max(t.FreeSlots(), 0)
+	for _, pool := range j.pools(v) {
+		for _, t := range v.Roster.Usable(pool) {
+			if s.canRun(now, j, it, t) && !t.Slow(now) {
+				n += max(t.FreeSlots(), 0)
+			}
 		}
 	}
 	return n
 }
 
+// pools returns the pools whose targets may run the job's items: those that the job's
+// route leads to now. There are none while the configuration has no such route.
+func (j *Job) pools(v View) []unit.Pool {
+	if v.Table == nil {
+		return nil
+	}
+	rule, _ := v.Table.RouteByName(j.Route)
+	return route.Pools(rule)
+}
+
+// anyFree reports whether any target that may run the job's items has a free slot.
+func (j *Job) anyFree(v View) bool {
+	return slices.ContainsFunc(j.pools(v), v.Roster.AnyFree)
+}
+
 // startItems sends waiting items of a job to targets with free slots.
 func (s *State) startItems(now clock.Millis, j *Job, v View, out *op.List) {
 	if j.Ending || j.Leaving || v.Table == nil {
@@ -62,12 +81,12 @@
 			continue
 		}
 		if load.own == nil {
-			if !v.Roster.AnyFree(j.Pool) {
+			if !j.anyFree(v) {
 				return
 			}
 			load = s.workloadFor(j)
 		}
-		t := s.pickTarget(now, j, it, load, v)
+		t := s.pickByWeight(now, j, it, rule, load, v)
 		if t == nil {
 			continue
 		}
@@ -85,13 +104,25 @@
 	}
 }
 
-// pickTarget returns the best target with a free slot that can run an item, nil
-// if there is none. Targets that are not slow come first, then those with the
+// pickByWeight returns a target for an item from the pool that the weights of the
+// route give it, or else from another one with a weight: a free slot is of more use to
+// an item that is due than an exact share.
+func (s *State) pickByWeight(now clock.Millis, j *Job, it *Item, rule platform.RouteRule, load workload, v View) *roster.Target {
+	for _, pool := range s.split.Order(rule) {
+		if t := s.pickTarget(now, j, it, pool, load, v); t != nil {
+			return t
+		}
+	}
+	return nil
+}
+
+// pickTarget returns the best target of a pool with a free slot that can run an item,
+// nil if there is none. Targets that are not slow come first, then those with the
 // least work. Instances order equal targets differently, so that those that start
 // jobs at the same time do not choose the same ones.
-func (s *State) pickTarget(now clock.Millis, j *Job, it *Item, load workload, v View) *roster.Target {
+func (s *State) pickTarget(now clock.Millis, j *Job, it *Item, pool unit.Pool, load workload, v View) *roster.Target {
 	var best *roster.Target
-	for _, t := range v.Roster.Usable(j.Pool) {
+	for _, t := range v.Roster.Usable(pool) {
 		if t.FreeSlots() <= 0 || !s.canRun(now, j, it, t) {
 			continue
 		}
--- a/internal/batch/reward.go
+++ b/internal/batch/reward.go
@@ -67,12 +67,13 @@
 	full := make(map[unit.Pool]bool)
 	for _, i := range due {
 		it := &j.Items[i]
-		rule, ok := v.Table.Match(it.Reward.Host, it.Reward.Path)
-		pool := s.split.Pick(rule)
+		rule, _ := v.Table.Match(it.Reward.Host, it.Reward.Path)
 		var t *roster.Target
-		if ok && !full[pool] {
-			t = it.Call.pickTarget(now, pool, v)
-			full[pool] = t == nil
+		for _, pool := range s.split.Order(rule) {
+			if t == nil && !full[pool] {
+				t = it.Call.pickTarget(now, pool, v)
+				full[pool] = t == nil
+			}
 		}
 		if t == nil {
 			j.rewardsDueAt = min(j.rewardsDueAt, now+rewardRetryDelay)
--- a/internal/batch/reward_test.go
+++ b/internal/batch/reward_test.go
@@ -178,7 +178,7 @@
 	f := newRewardFixture("a")
 	f.apply(op.JobOwnershipGained{
 		Epoch: 1, Whole: []int{0, 1}, Scored: []int{1},
-		Shape: op.JobShape{ID: "j", Route: "r", Pool: "p", Items: []op.ItemShape{scored, scored}},
+		Shape: op.JobShape{ID: "j", Route: "r", Items: []op.ItemShape{scored, scored}},
 	})
 	if calls := f.calls(); len(f.runs) != 0 || len(calls) != 1 || calls[0].Item != 0 {
 		t.Errorf("runs %+v, calls %+v", f.runs, calls)
--- a/internal/edge/accept.go
+++ b/internal/edge/accept.go
@@ -38,7 +38,7 @@
 		return
 	}
 	record := jobRecord{
-		Workspace: e.Workspace, Route: e.Rule.Name, Pool: e.Rule.Split[0].Pool, Host: cr.r.Host,
+		Workspace: e.Workspace, Route: e.Rule.Name, Host: cr.r.Host,
 		SubmittedAt: int64(cr.p.clock.Wall()), Body: cr.body, Writer: cr.p.state.Self, Try: cr.id,
 	}
 	startedAt := cr.p.clock.Now()
--- a/internal/edge/adopt_test.go
+++ b/internal/edge/adopt_test.go
@@ -20,7 +20,7 @@
 // ownReusedJob makes the instance the owner of the test job under an epoch, with
 // texts of an earlier job.
 func ownReusedJob(p *Process, epoch unit.Epoch, texts []keptText) *jobContent {
-	c := newJobContent(jobRecord{Route: "r", Pool: "p"}, testItems(2))
+	c := newJobContent(jobRecord{Route: "r"}, testItems(2))
 	c.epoch = epoch
 	c.reuseTexts(texts)
 	p.contents.put(testJob, c)
@@ -111,7 +111,7 @@
 func TestItemThatIsNotReadyRunsAgain(t *testing.T) {
 	p, store, storeBack := aheadProcess(t)
 	storeBack()
-	c := newJobContent(jobRecord{Route: "r", Pool: "p"}, testItems(2))
+	c := newJobContent(jobRecord{Route: "r"}, testItems(2))
 	c.epoch = 1
 	p.contents.put(testJob, c)
 	p.apply(op.JobOwnershipGained{Shape: c.shape(), Epoch: 1, Whole: []int{1}})
@@ -145,7 +145,7 @@
 			p, store, storeBack := aheadProcess(t)
 			p.deps.Backends = &resumingBackends{}
 			storeBack()
-			c := newJobContent(jobRecord{Route: "r", Pool: "p"}, testItems(1))
+			c := newJobContent(jobRecord{Route: "r"}, testItems(1))
 			c.epoch = 2
 			c.addStoredPart(tt.part)
 			p.contents.put(testJob, c)
--- a/internal/edge/ahead_test.go
+++ b/internal/edge/ahead_test.go
@@ -68,7 +68,7 @@
 
 // aheadWrite returns the write of a job whose first attempt has failed.
 func aheadWrite(t *testing.T, p *Process) *jobWrite {
-	w, err := p.newJobWrite(jobRecord{Route: "r", Pool: "p", Workspace: "w", Writer: "a#1", Body: json.RawMessage("{}")}, testItems(2))
+	w, err := p.newJobWrite(jobRecord{Route: "r", Workspace: "w", Writer: "a#1", Body: json.RawMessage("{}")}, testItems(2))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/edge/content.go
+++ b/internal/edge/content.go
@@ -55,7 +55,6 @@
 type jobRecord struct {
 	Workspace unit.Workspace
 	Route     unit.Route
-	Pool      unit.Pool
 	Host      string
 	// Writer and Try identify the submission that wrote the record, so that it
 	// can recognize its own write if the store's answer was lost.
@@ -237,7 +236,7 @@
 // content of the items.
 func (j *jobContent) shape() op.JobShape {
 	s := op.JobShape{
-		ID: j.job.ID, Workspace: j.record.Workspace, Route: j.record.Route, Pool: j.record.Pool,
+		ID: j.job.ID, Workspace: j.record.Workspace, Route: j.record.Route,
 		MinVersion: j.job.MinVersion, WantGroups: j.job.WantGroups, Series: j.series(),
 	}
 	for _, it := range j.job.Items {
--- a/internal/edge/content_test.go
+++ b/internal/edge/content_test.go
@@ -13,7 +13,7 @@
 
 // newTestContent returns the content of a job with two items.
 func newTestContent() *jobContent {
-	return newJobContent(jobRecord{Route: "r", Pool: "p"}, testItems(2))
+	return newJobContent(jobRecord{Route: "r"}, testItems(2))
 }
 
 // roundTrip encodes a chunk for the store and decodes it again.
--- a/internal/edge/explore_rules_test.go
+++ b/internal/edge/explore_rules_test.go
@@ -44,7 +44,7 @@
 
 // storedTexts returns the job as a new owner reads it.
 func (x *explorer) storedTexts() *jobContent {
-	c := newJobContent(jobRecord{Route: "r", Pool: "p"}, testItems(exploredItems))
+	c := newJobContent(jobRecord{Route: "r"}, testItems(exploredItems))
 	for n, chunk := range x.chunks {
 		c.addChunk(n, chunk)
 	}
--- a/internal/edge/explore_test.go
+++ b/internal/edge/explore_test.go
@@ -97,7 +97,7 @@
 // earlierTexts returns the texts that an instance has of the earlier step, which is
 // still open: the first item is complete, the second one runs.
 func (x *explorer) earlierTexts(in *exploredInstance) []keptText {
-	c := newJobContent(jobRecord{Route: "r", Pool: "p"}, testItems(exploredItems))
+	c := newJobContent(jobRecord{Route: "r"}, testItems(exploredItems))
 	in.contents.put(earlierJob, c)
 	for item, events := range []int{exploredEvents, earlierEvents} {
 		r := x.startRun(in, op.RunItem{Job: earlierJob, Item: item, Run: int64(1000 + item)})
@@ -115,7 +115,7 @@
 
 // own makes an instance the owner of the job, as takeOverJob and ownNewJob do.
 func (x *explorer) own(in *exploredInstance, epoch unit.Epoch, texts []keptText) {
-	c := newJobContent(jobRecord{Route: "r", Pool: "p"}, testItems(exploredItems))
+	c := newJobContent(jobRecord{Route: "r"}, testItems(exploredItems))
 	var shapes []op.ChunkShape
 	for n, chunk := range x.chunks {
 		shape, _ := c.addChunk(n, chunk)
--- a/internal/edge/orphan_test.go
+++ b/internal/edge/orphan_test.go
@@ -14,7 +14,7 @@
 func ownerState() *State {
 	s := NewState(platform.Environment{Instance: "self"}, "self#1", 1)
 	s.Table = testTable()
-	s.Reduce(1, op.JobOwnershipGained{Epoch: 2, Shape: op.JobShape{ID: "j", Route: "r", Pool: "p", Items: make([]op.ItemShape, 2)}})
+	s.Reduce(1, op.JobOwnershipGained{Epoch: 2, Shape: op.JobShape{ID: "j", Route: "r", Items: make([]op.ItemShape, 2)}})
 	return s
 }
 
--- a/internal/edge/ownership_test.go
+++ b/internal/edge/ownership_test.go
@@ -78,7 +78,7 @@
 // ownJob makes an instance the owner, as Process does in takeOverJob and
 // ownNewJob.
 func (s *simulation) ownJob(o *owner, epoch unit.Epoch) {
-	c := newJobContent(jobRecord{Route: "r", Pool: "p"}, testItems(2))
+	c := newJobContent(jobRecord{Route: "r"}, testItems(2))
 	var shapes []op.ChunkShape
 	for n, chunk := range s.chunks {
 		shape, _ := c.addChunk(n, chunk)
--- a/internal/edge/repeat_test.go
+++ b/internal/edge/repeat_test.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	value, err := json.Marshal(jobRecord{Workspace: "w", Route: "r", Pool: "p", Body: body})
+	value, err := json.Marshal(jobRecord{Workspace: "w", Route: "r", Body: body})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/edge/reuse_test.go
+++ b/internal/edge/reuse_test.go
@@ -9,14 +9,14 @@
 )
 
 func TestLaterJobReusesTextsOfRepeatedItems(t *testing.T) {
-	earlier := newJobContent(jobRecord{Route: "r", Pool: "p"}, testItems(4))
+	earlier := newJobContent(jobRecord{Route: "r"}, testItems(4))
 	addTestEvents(earlier, 1, "a/1", "one", "two")
 	earlier.addChunk(0, chunkRecord{Results: []platform.Result{
 		{ID: "i0", Text: "all of it", Versions: []unit.Version{3}}, {ID: "i3", GivenUp: true},
 	}})
 	earlier.addChunk(1, chunkRecord{Ended: true})
 
-	later := newJobContent(jobRecord{Route: "r", Pool: "p"}, testItems(4))
+	later := newJobContent(jobRecord{Route: "r"}, testItems(4))
 	whole := later.reuseTexts(earlier.keptTexts([]string{"i0", "i1", "i2", "i3", "other"}, 3))
 	if items, _ := later.wholeItems(); whole != 1 || len(items) != 1 || items[0] != 0 {
 		t.Errorf("complete items: %d, %v", whole, items)
--- a/internal/edge/reward_test.go
+++ b/internal/edge/reward_test.go
@@ -126,7 +126,7 @@
 	for i, id := range rewards {
 		job.Items[i].Reward = &platform.RewardCall{ID: id, Host: "h", Path: "/score/x"}
 	}
-	return newJobContent(jobRecord{Route: "r", Pool: "p"}, job)
+	return newJobContent(jobRecord{Route: "r"}, job)
 }
 
 func TestScoresAreReusedWithTheirRewardCall(t *testing.T) {
--- a/internal/op/job_event.go
+++ b/internal/op/job_event.go
@@ -9,8 +9,9 @@
 type JobShape struct {
 	ID        string
 	Workspace unit.Workspace
-	Route     unit.Route
-	Pool      unit.Pool
+	// Route is the route that the job was submitted under. What it leads to and
+	// allows is for the configuration in force to say.
+	Route unit.Route
 	// MinVersion is the oldest model version that may produce results.
 	MinVersion unit.Version
 	// WantGroups is the number of complete groups that the trainer waits for; 0
--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -1,6 +1,8 @@
 package route
 
 import (
+	"slices"
+
 	"github.com/catkinhead/catkinhead/pkg/clock"
 	"github.com/catkinhead/catkinhead/pkg/platform"
 	"github.com/catkinhead/catkinhead/pkg/unit"
@@ -13,6 +15,33 @@
 // Splitter picks pools in proportion to the weights of a rule.
 type Splitter struct{ position int }
 
+// Pools returns the pools that may serve a rule now: those with a weight, or the only
+// one. Nothing else may be sent to another pool, whatever was in force before.
+func Pools(rule platform.RouteRule) []unit.Pool {
+	var out []unit.Pool
+	for _, sh := range rule.Split {
+		if sh.Weight > 0 {
+			out = append(out, sh.Pool)
+		}
+	}
+	if len(out) == 0 && len(rule.Split) > 0 {
+		return []unit.Pool{rule.Split[0].Pool}
+	}
+	return out
+}
+
+// Order returns the pools that may serve a rule now, the one picked by weight first.
+func (s *Splitter) Order(rule platform.RouteRule) []unit.Pool {
+	out := Pools(rule)
+	if len(out) < 2 {
+		return out
+	}
+	first := s.Pick(rule)
+	i := max(slices.Index(out, first), 0)
+	out[0], out[i] = out[i], out[0]
+	return out
+}
+
 // Pick returns a pool of the rule's split, and the empty name for a rule without
 // pools.
 func (s *Splitter) Pick(rule platform.RouteRule) unit.Pool {
