link: an answer is whole and valid, or it is an error

Cause: the system tells of a reset once for each connection. The goroutine that writes gets it, and the one that reads gets an end of file, the proper end of an answer without a length. The transport checks neither the range of a status nor blanks in names of fields.

Change: link follows each request to the end of its answer. An answer that ends with its connection is whole only if the request was written whole and no write failed; a head that is not valid is link.ErrNotValid, before anything is begun towards the caller, and counts as no crash. All clients use it, the operators' command line too.

--- a/internal/cli/operator.go
+++ b/internal/cli/operator.go
@@ -12,6 +12,7 @@
 	"github.com/integrii/flaggy"
 	"github.com/twitchtv/twirp"
 
+	"github.com/catkinhead/catkinhead/pkg/platform/link"
 	"github.com/catkinhead/catkinhead/pkg/rpc"
 	"github.com/catkinhead/catkinhead/pkg/spec"
 )
@@ -38,7 +39,9 @@
 // operator returns a client of the instance and a context with the operators' key.
 func (r *remote) operator(ctx context.Context) (context.Context, rpc.Operator) {
 	ctx = withBearer(ctx, os.Getenv("CATKINHEAD_OPERATOR_KEY"))
-	return ctx, rpc.NewOperatorProtobufClient("http://"+r.address, &http.Client{Timeout: operatorTimeout})
+	client := link.NewClient(0, false, nil)
+	client.Timeout = operatorTimeout
+	return ctx, rpc.NewOperatorProtobufClient("http://"+r.address, client)
 }
 
 // withBearer adds the key as a bearer token to the headers of Twirp calls.
--- a/pkg/platform/link/silence.go
+++ b/pkg/platform/link/silence.go
@@ -1,9 +1,7 @@
 package link
 
 import (
-	"net"
 	"net/http"
-	"net/http/httptrace"
 	"sync"
 
 	"github.com/catkinhead/catkinhead/pkg/clock"
@@ -58,62 +56,3 @@
 	}
 	return false
 }
-
-// exchange is one request on a connection, and its answer.
-type exchange struct {
-	kept *keptConns
-	mu   sync.Mutex
-	conn *countingConn
-	// sentAt is when the request got its connection.
-	sentAt clock.Millis
-	// written is set once the request was written whole.
-	written bool
-}
-
-// trace returns a request that records its progress in the exchange.
-func (x *exchange) trace(req *http.Request) *http.Request {
-	return req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
-		GotConn:      func(info httptrace.GotConnInfo) { x.begin(info.Conn) },
-		WroteRequest: func(info httptrace.WroteRequestInfo) { x.wrote(info.Err) },
-		PutIdleConn:  x.putIdle,
-	}))
-}
-
-func (x *exchange) begin(conn net.Conn) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.sentAt = clock.System{}.Now()
-	if c, ok := conn.(*countingConn); ok {
-		x.conn = c
-		c.idle.Store(false)
-	}
-}
-
-func (x *exchange) wrote(err error) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.written = err == nil
-}
-
-func (x *exchange) putIdle(err error) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if x.conn != nil && err == nil {
-		x.conn.idle.Store(true)
-	}
-}
-
-// abandoned records that the request has ended before its answer was whole. If its
-// connection has been silent until now, the others are checked.
-func (x *exchange) abandoned() {
-	x.mu.Lock()
-	conn, since := x.conn, x.sentAt
-	x.mu.Unlock()
-	if x.kept == nil || conn == nil {
-		return
-	}
-	since = max(since, clock.Millis(conn.readAt.Load()))
-	if silent := (clock.System{}).Now() - since; silent >= minSilence {
-		x.kept.wentSilent(since)
-	}
-}
--- a/pkg/platform/link/transport.go
+++ b/pkg/platform/link/transport.go
@@ -65,7 +65,8 @@
 	}
 }
 
-// transport sends requests and follows each until its answer has ended.
+// transport sends requests and follows each until its answer has ended. An answer that
+// is not valid is an error (ErrNotValid).
 type transport struct {
 	next *http.Transport
 	// kept are the connections that are kept, nil if none are.
@@ -80,7 +81,11 @@
 		x.abandoned()
 		return nil, err
 	}
-	res.Body = &answerBody{ReadCloser: res.Body, exchange: x}
+	if err := checkHead(res); err != nil {
+		res.Body.Close()
+		return nil, err
+	}
+	res.Body = &answerBody{ReadCloser: res.Body, exchange: x, unsized: endsWithConnection(res)}
 	return res, nil
 }
 
@@ -91,13 +96,19 @@
 type answerBody struct {
 	io.ReadCloser
 	exchange *exchange
+	// unsized is set if only the end of the connection tells where the body ends.
+	unsized bool
 	// ended is set at the end of the body, or at the first error.
 	ended bool
 }
 
-// Read reads a part of the body.
+// Read reads a part of the body. Where the body ends with its connection, it returns
+// io.ErrUnexpectedEOF if the connection may have been reset.
 func (b *answerBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF && b.unsized && !b.exchange.writtenWhole() {
+		err = io.ErrUnexpectedEOF
+	}
 	if err != nil {
 		b.end(err == io.EOF)
 	}
--- a/pkg/platform/link/write_deadline.go
+++ b/pkg/platform/link/write_deadline.go
@@ -58,5 +58,6 @@
 		deadline, _ := ctx.Value(writeDeadlineKey{}).(clock.Millis)
 		return &countingConn{Conn: &deadlineConn{Conn: conn, clock: c, deadline: deadline}}, nil
 	}
-	return &http.Client{CheckRedirect: noRedirects, Transport: &http.Transport{DialContext: dial, DisableKeepAlives: !keepAlive, MaxResponseHeaderBytes: maxHeaderBytes}}
+	t := &http.Transport{DialContext: dial, DisableKeepAlives: !keepAlive, MaxResponseHeaderBytes: maxHeaderBytes}
+	return &http.Client{CheckRedirect: noRedirects, Transport: &transport{next: t}}
 }
--- a/pkg/platform/link/write_tracker.go
+++ b/pkg/platform/link/write_tracker.go
@@ -22,6 +22,8 @@
 	// in milliseconds by clock.System. idle is set while it carries no request.
 	readAt atomic.Int64
 	idle   atomic.Bool
+	// writing is set during a write, writeFailed once a write has failed.
+	writing, writeFailed atomic.Bool
 }
 
 // dialTimeout bounds the time to open a connection.
@@ -53,7 +55,12 @@
 
 // Write writes b and counts the bytes that the kernel accepted.
 func (c *countingConn) Write(b []byte) (int, error) {
+	c.writing.Store(true)
 	n, err := c.Conn.Write(b)
+	if err != nil {
+		c.writeFailed.Store(true)
+	}
+	c.writing.Store(false)
 	c.written.Add(int64(n))
 	c.add(n)
 	return n, err
--- a/pkg/platform/wire/engine.go
+++ b/pkg/platform/wire/engine.go
@@ -108,13 +108,13 @@
 }
 
 // connectionFailure returns the failure of a broken connection. Crashed is set
-// only if a byte was written and the connection was not closed by cancelling
-// ctx.
+// only if a byte was written, the connection was not closed by cancelling ctx, and no
+// answer came that is not valid.
 func connectionFailure(ctx context.Context, wrote bool, err error) error {
 	f := &platform.Failure{Outcome: unit.NotRun, Err: err}
 	if wrote {
 		f.Outcome = unit.Unknown
-		f.Crashed = ctx.Err() == nil
+		f.Crashed = ctx.Err() == nil && !errors.Is(err, link.ErrNotValid)
 	}
 	return f
 }
