--- a/internal/cli/hosted.go
+++ b/internal/cli/hosted.go
@@ -175,29 +175,18 @@
 // listenHosted opens the listeners when the application starts and shuts them
 // down gracefully when it stops.
 func listenHosted(lc fx.Lifecycle, environment base.Environment, f hostedFlags, p *edge.Process, log *logrus.Logger) {
-	front := &http.Server{Handler: p, ReadHeaderTimeout: hostedHeaderTimeout, IdleTimeout: hostedIdleTimeout}
-	servers := map[string]*http.Server{
-		environment.Front: front,
-		environment.Ready: {Handler: p.ReadyHandler()},
-		net.JoinHostPort(environment.IP, fmt.Sprint(environment.PeerPort)): {Handler: p.PeerHandler()},
-		f.metrics: {Handler: debugHandler(p)},
+	front := &http.Server{Addr: environment.Front, Handler: p, ReadHeaderTimeout: hostedHeaderTimeout, IdleTimeout: hostedIdleTimeout}
+	servers := []*http.Server{
+		front,
+		{Addr: environment.Ready, Handler: p.ReadyHandler()},
+		{Addr: net.JoinHostPort(environment.IP, fmt.Sprint(environment.PeerPort)), Handler: p.PeerHandler()},
+		{Addr: f.metrics, Handler: debugHandler(p)},
 	}
 	ended := make(chan error, len(servers))
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			p.Run(context.Background())
-			for address, s := range servers {
-				if address == "" {
-					ended <- nil
-					continue
-				}
-				ln, err := net.Listen("tcp", address)
-				if err != nil {
-					return fmt.Errorf("listen on %s: %w", address, err)
-				}
-				go func() { ended <- s.Serve(ln) }()
-			}
-			return nil
+			return listenAll(servers, ended)
 		},
 		OnStop: func(ctx context.Context) error {
 			stopHosted(ctx, environment, front, p, log)
@@ -217,6 +206,23 @@
 	})
 }
 
+// listenAll opens a listener for each server that has an address, and serves it. The end
+// of each server is sent to ended. Two servers with the same address are an error.
+func listenAll(servers []*http.Server, ended chan<- error) error {
+	for _, s := range servers {
+		if s.Addr == "" {
+			ended <- nil
+			continue
+		}
+		ln, err := net.Listen("tcp", s.Addr)
+		if err != nil {
+			return fmt.Errorf("listen on %s: %w", s.Addr, err)
+		}
+		go func() { ended <- s.Serve(ln) }()
+	}
+	return nil
+}
+
 // stopHosted marks the instance as not ready, keeps serving the requests that can
 // still be answered, waits until all work is finished or handed over or the time is
 // up, and then closes the listener for callers.
