link, edge: answers, held replies and texts take a bounded part of memory

It happens here: 48 orders of versions at once, to targets whose answers do not end, took 303 to 454 MB on machines of 112 MB and more; store, cloud and lists a few times more than a quarter of the smallest machine. And an item whose target sent good events without end was resumed after them at the next target, and the text of the faulty one became its result (MIXED).

Cause: each JSON answer could take 8 MB, and twice that while it was read, whatever the call; held replies were in no budget; a text that broke its bound was kept, here and in the store; texts had a bound each and none together.

Change: answers are bounded by the call (64 KB, an object, a page), refusals are read past; held replies take room from the budget for bodies; a text that breaks a bound is discarded, and what the store has of it is replaced by an empty part; an item has no more events than tokens; long texts take a quarter of the memory together.

--- a/internal/edge/body.go
+++ b/internal/edge/body.go
@@ -38,8 +38,8 @@
 // errNoRoom means that the bodies of other requests take the memory for bodies.
 var errNoRoom = errors.New("no room for the request's body")
 
-// bodyBudget bounds the memory that the bodies of callers' requests take at the same
-// time. A body stays in memory until its request ends, since it may have to be sent to
+// bodyBudget bounds the memory that the bodies of callers' requests, and those of
+// targets' replies that are held back, take at the same time. A request's body stays in memory until its request ends, since it may have to be sent to
 // another target. The zero value has no bound.
 type bodyBudget struct {
 	room *semaphore.Weighted
@@ -73,6 +73,18 @@
 	return func() { b.room.Release(n) }, nil
 }
 
+// tryAcquire is acquire without waiting. It returns false if there is no room now.
+func (b bodyBudget) tryAcquire(n int64) (release func(), ok bool) {
+	n = min(n, b.size)
+	if b.room == nil || n <= smallBody {
+		return func() {}, true
+	}
+	if !b.room.TryAcquire(n) {
+		return nil, false
+	}
+	return func() { b.room.Release(n) }, true
+}
+
 // readBody reads the body within the configured limit and the budget. If that fails,
 // it answers the caller and returns false. release gives the room back.
 func (cr *callerRequest) readBody() (release func(), ok bool) {
--- a/internal/edge/content.go
+++ b/internal/edge/content.go
@@ -17,8 +17,19 @@
 type contentStore struct {
 	mu   sync.Mutex
 	jobs map[string]*jobContent
+	// textBytes is what the texts take, as of the last measureTexts, with what was added
+	// since. maxTextBytes bounds it for texts longer than longText; 0 means no bound.
+	textBytes, maxTextBytes int64
 }
 
+const (
+	// textMemoryShare is the part of the process's memory that texts may take: one in
+	// textMemoryShare.
+	textMemoryShare = 4
+	// longText is the length up to which a text is kept whatever others take, in bytes.
+	longText = 64 << 10
+)
+
 // jobContent is the content of one job.
 type jobContent struct {
 	record jobRecord
@@ -76,7 +87,40 @@
 	Ended bool         `json:",omitempty"`
 }
 
-func newContentStore() *contentStore { return &contentStore{jobs: make(map[string]*jobContent)} }
+// newContentStore returns the contents of a process with a memory limit in bytes, 0 for
+// none.
+func newContentStore(memory int64) *contentStore {
+	return &contentStore{jobs: make(map[string]*jobContent), maxTextBytes: memory / textMemoryShare}
+}
+
+// grow adds n bytes to the size of a text. The error is errTextTooLong if the text has no
+// room, or errNoTextRoom if it is long and the texts together take too much. It is called
+// within withJob.
+func (c *contentStore) grow(t *itemText, n int) error {
+	t.size += n
+	c.textBytes += int64(n)
+	switch {
+	case t.size > maxTextBytes:
+		return errTextTooLong
+	case t.size > longText && c.maxTextBytes > 0 && c.textBytes > c.maxTextBytes:
+		return errNoTextRoom
+	}
+	return nil
+}
+
+// measureTexts measures what the texts take.
+func (c *contentStore) measureTexts() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.textBytes = 0
+	for _, j := range c.jobs {
+		for i := range j.texts {
+			if len(j.texts[i].events) > 0 {
+				c.textBytes += int64(j.texts[i].size)
+			}
+		}
+	}
+}
 
 // newJobContent returns the content of a job without texts and results.
 func newJobContent(record jobRecord, job platform.Job) *jobContent {
--- a/internal/edge/items.go
+++ b/internal/edge/items.go
@@ -57,6 +57,13 @@
 	errNoEvents  = errors.New("stream ended without an event")
 )
 
+// errTextTooLong and errNoTextRoom end a run whose text breaks a bound. No event of such
+// a text can be told from what the item asked for, so all are discarded.
+var (
+	errTextTooLong = fmt.Errorf("text of the item: %w", platform.ErrTooLong)
+	errNoTextRoom  = errors.New("texts take too much memory")
+)
+
 // errRunReplaced ends a run after another run of the same item has started.
 var errRunReplaced = errors.New("another run of the item has started")
 
@@ -138,13 +145,8 @@
 	if end == op.ItemBroken && errors.Is(context.Cause(ctx), errMoved) {
 		end, err = op.ItemMoved, nil
 	}
-	if end == op.ItemBroken && errors.Is(err, errMixedVersions) {
-		// Discard the text, so that the next run starts it again.
-		p.contents.withJob(e.Job, func(c *jobContent) {
-			if c.texts[e.Item].run == e.Run {
-				c.texts[e.Item] = itemText{lastEvent: -1, run: e.Run}
-			}
-		})
+	if end == op.ItemBroken && isTextUseless(err) {
+		p.contents.withJob(e.Job, func(c *jobContent) { c.discardText(e.Item, e.Run) })
 		r.lastEvent = -1
 	}
 	if end == op.ItemComplete {
@@ -158,6 +160,12 @@
 	p.apply(op.ItemRunEnded{Job: e.Job, Item: e.Item, Run: e.Run, Target: e.Target, End: end, Last: r.lastEvent})
 }
 
+// isTextUseless reports whether the text of a run that ended with an error has to be
+// started again.
+func isTextUseless(err error) bool {
+	return errors.Is(err, errMixedVersions) || errors.Is(err, platform.ErrTooLong) || errors.Is(err, errNoTextRoom)
+}
+
 // logEnd logs the end of the run and records its duration.
 func (r *run) logEnd(end op.ItemEnd, err error) {
 	fields := logrus.Fields{
@@ -289,7 +297,8 @@
 }
 
 // keepEvent adds an event to the item's text. It returns an error if the event
-// does not follow the last one, or if this run may not add it.
+// does not follow the last one, if this run may not add it, or if the text breaks a
+// bound: an event holds at least one of the tokens that the item may have.
 func (r *run) keepEvent(ev platform.Event) error {
 	if r.lastEvent < 0 && ev.ID > maxFirstEvent || r.lastEvent >= 0 && ev.ID != r.lastEvent+1 {
 		return fmt.Errorf("got event %d after event %d", ev.ID, r.lastEvent)
@@ -305,12 +314,15 @@
 			err = errMixedVersions
 			return
 		}
+		if most := c.job.Items[r.e.Item].Tokens; most > 0 && ev.ID > int64(most) {
+			err = errTextTooLong
+			return
+		}
 		if !t.continued {
 			t.startLineage(fmt.Sprintf("%s/%d", r.p.state.Self, r.e.Run))
 		}
 		data := string(ev.Data)
-		if t.size += encodedSize(data) + eventOverhead; t.size > maxTextBytes {
-			err = platform.ErrTooLong
+		if err = r.p.contents.grow(t, encodedSize(data)+eventOverhead); err != nil {
 			return
 		}
 		t.events = append(t.events, data)
--- a/internal/edge/mirror.go
+++ b/internal/edge/mirror.go
@@ -28,7 +28,7 @@
 	// peers with it. If it is older, the peers have to ask the store.
 	maxMirrorAge clock.Millis = 1350
 	// maxMirrorBytes bounds an answer of a mirror, in bytes.
-	maxMirrorBytes = 16 << 20
+	maxMirrorBytes = 4 << 20
 )
 
 // mirror is a copy of the stored objects of one kind, with the latest changes.
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -223,7 +223,7 @@
 		return jobAnswer{}
 	}
 	defer res.Body.Close()
-	body, err := link.ReadAll(res.Body, maxPeerAnswerBytes)
+	body, err := link.ReadAnswer(res, maxPeerAnswerBytes)
 	if err != nil {
 		p.log.WithFields(logrus.Fields{"Job": call.Job, "Owner": address, "Error": err.Error()}).Warn("answer of the owner is not complete")
 		return jobAnswer{}
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -23,7 +23,7 @@
 
 // maintenanceTicks is the number of ticks in a round of maintenance. Once per
 // round the targets' mean times between output events are compared, expired texts
-// of ended jobs are dropped, and unsaved texts of other jobs are stored.
+// of ended jobs are dropped, the others are measured, and unsaved texts of other jobs are stored.
 const maintenanceTicks = 6
 
 // ObjectStore is the part of the platform's object store that an instance uses.
@@ -92,7 +92,7 @@
 func New(environment platform.Environment, deps Dependencies, relay *Relay, c clock.Clock, log *logrus.Logger) (*Process, error) {
 	self := unit.Incarnation(fmt.Sprintf("%s#%020d", environment.Instance, time.Now().UnixMicro()))
 	p := &Process{
-		environment: environment, deps: deps, clock: c, contents: newContentStore(), relay: relay,
+		environment: environment, deps: deps, clock: c, contents: newContentStore(environment.Memory), relay: relay,
 		bodies:  newBodyBudget(environment.Memory),
 		log:     log.WithFields(logrus.Fields{"Instance": environment.Instance}),
 		state:   NewState(environment, self, c.Now()),
@@ -142,6 +142,7 @@
 				p.apply(e)
 			}
 			p.contents.dropExpiredTexts(p.clock.Now())
+			p.contents.measureTexts()
 			for _, job := range p.contents.unsavedJobs() {
 				p.apply(op.JobOutputUnsaved{Job: job})
 			}
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -190,46 +190,56 @@
 	cr.log("attempt ended", fields)
 }
 
-// forwardReply sends a target's reply to the caller. A short reply is read
-// completely first.
+// forwardReply sends a target's reply to the caller. A short reply is read completely
+// first, if there is room for it. One that turns out to be short gets a Content-Length.
 func (cr *callerRequest) forwardReply(reply *platform.Reply, streaming bool, ended *op.AttemptEnded) error {
 	defer reply.Body.Close()
-	if !streaming && reply.Length >= 0 && reply.Length <= maxBufferedReply {
-		body, err := io.ReadAll(reply.Body)
-		if err != nil {
-			return &platform.Failure{Outcome: unit.Unknown, Err: err}
-		}
-		cr.writeHead(reply)
-		ended.Begun = true
-		_, err = cr.w.Write(body)
-		return err
-	}
-	if !streaming && reply.Length < 0 {
-		return cr.forwardUnsizedReply(reply, ended)
+	held := cr.heldBytes(reply, streaming)
+	release, ok := cr.p.bodies.tryAcquire(held)
+	if !ok {
+		held, release = min(held, smallBody), func() {}
 	}
-	cr.writeHead(reply)
-	ended.Begun = true
-	return cr.streamBody(reply.Body)
-}
-
-// forwardUnsizedReply forwards a reply without a known length. If it turns out
-// to be short, the caller gets a Content-Length.
-func (cr *callerRequest) forwardUnsizedReply(reply *platform.Reply, ended *op.AttemptEnded) error {
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxBufferedReply))
+	defer release()
+	body, whole, err := readStart(reply, held)
 	if err != nil {
 		return &platform.Failure{Outcome: unit.Unknown, Err: err}
 	}
-	if len(body) < maxBufferedReply {
+	if whole && reply.Length < 0 {
 		reply.Length = int64(len(body))
 	}
 	cr.writeHead(reply)
 	ended.Begun = true
-	if _, err := cr.w.Write(body); err != nil || reply.Length >= 0 {
+	if _, err := cr.w.Write(body); err != nil || whole {
 		return err
 	}
 	return cr.streamBody(reply.Body)
 }
 
+// heldBytes returns how much of a reply is held back, in bytes: all of a short one, as
+// much of one whose length is not known, and nothing of a stream or a long one.
+func (cr *callerRequest) heldBytes(reply *platform.Reply, streaming bool) int64 {
+	switch {
+	case streaming || reply.Length > maxBufferedReply:
+		return 0
+	case reply.Length < 0:
+		return maxBufferedReply
+	default:
+		return reply.Length
+	}
+}
+
+// readStart reads up to n bytes of a reply, and reports whether these are all.
+func readStart(reply *platform.Reply, n int64) (body []byte, whole bool, err error) {
+	if n == 0 {
+		return nil, reply.Length == 0, nil
+	}
+	body, err = io.ReadAll(io.LimitReader(reply.Body, n))
+	if err != nil {
+		return nil, false, err
+	}
+	return body, int64(len(body)) < n || int64(len(body)) == reply.Length, nil
+}
+
 // writeHead sends the status and the headers of a reply.
 func (cr *callerRequest) writeHead(reply *platform.Reply) {
 	h := cr.w.Header()
--- a/internal/edge/reuse.go
+++ b/internal/edge/reuse.go
@@ -133,7 +133,7 @@
 		if !ok || j.texts[i].run != 0 || len(j.texts[i].events) > 0 {
 			continue
 		}
-		j.texts[i] = itemText{events: kept.Events, versions: kept.Versions, lastEvent: kept.Last, lineage: kept.Line, whole: kept.Whole}
+		j.texts[i] = itemText{events: kept.Events, size: textSize(kept.Events), versions: kept.Versions, lastEvent: kept.Last, lineage: kept.Line, whole: kept.Whole}
 		if kept.Whole {
 			j.texts[i].lastEvent = -1
 			whole++
--- a/internal/edge/store_test.go
+++ b/internal/edge/store_test.go
@@ -88,7 +88,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	return &Process{
-		deps: Dependencies{Store: store}, clock: clock.System{}, log: logrus.NewEntry(log), contents: newContentStore(),
+		deps: Dependencies{Store: store}, clock: clock.System{}, log: logrus.NewEntry(log), contents: newContentStore(0),
 		state: NewState(platform.Environment{Instance: "a"}, "a#1", 0),
 	}
 }
--- a/internal/edge/text.go
+++ b/internal/edge/text.go
@@ -16,8 +16,7 @@
 	// started none. Only that run may add events.
 	run    int64
 	events []string
-	// size is what the events that runs of this instance have added take in the
-	// store, in bytes, with eventOverhead for each.
+	// size is what the events take in the store, in bytes, with eventOverhead for each.
 	size int
 	// versions are the model versions that produced the events.
 	versions []unit.Version
@@ -27,8 +26,11 @@
 	// given one.
 	whole bool
 	score string
-	// savedEvents counts the events that are in the store.
-	savedEvents int
+	// savedEvents counts the events that are in the store. stored is set once the store
+	// has any event of the item, also one of an earlier text. discarded is set while all
+	// that it has was discarded here: another owner must not go on after it.
+	savedEvents       int
+	stored, discarded bool
 	// lineage identifies the owner's run that was the first to add an event to the
 	// text while the owner had it. Parts are joined into one text only if their
 	// lineage is the same. continued is set once the lineage is that of a run of this
@@ -78,6 +80,25 @@
 	return t.lastEvent, t.whole
 }
 
+// discardText empties an item's text so that the next run begins it again, if run is
+// still the only one that may add events.
+func (j *jobContent) discardText(item int, run int64) {
+	t := &j.texts[item]
+	if t.run != run {
+		return
+	}
+	*t = itemText{run: run, lastEvent: -1, stored: t.stored, discarded: t.stored}
+}
+
+// textSize returns what events take in the store, see itemText.size.
+func textSize(events []string) int {
+	size := 0
+	for _, ev := range events {
+		size += encodedSize(ev) + eventOverhead
+	}
+	return size
+}
+
 // startLineage gives the text a lineage of its own, before the first event that a run
 // of this instance adds. The text is then stored again from the start: a late write of
 // its former owner may go on with other events under the former lineage.
@@ -102,6 +123,8 @@
 		return
 	}
 	t.events = append(t.events, part.Events...)
+	t.size += textSize(part.Events)
+	t.stored = len(t.events) > 0
 	t.versions, t.lastEvent, t.savedEvents, t.whole = part.Versions, part.Last, len(t.events), part.Whole
 }
 
@@ -110,16 +133,24 @@
 	end := part.From + len(part.Events)
 	if part.Line == t.lineage && part.From == t.savedEvents && end <= len(t.events) {
 		t.savedEvents = end
+		t.stored, t.discarded = end > 0, false
 	}
 }
 
-// unsavedParts returns the unsaved events of each item that has at least
-// minEvents of them.
+// unsaved reports whether the store lacks at least minEvents events of the text, or
+// holds events that were discarded.
+func (t *itemText) unsaved(minEvents int) bool {
+	return t.discarded && len(t.events) == 0 || len(t.events)-t.savedEvents >= minEvents
+}
+
+// unsavedParts returns the unsaved events of each item that has at least minEvents of
+// them. The part of a text that was discarded has no event and begins at the start, so
+// that it replaces what is stored.
 func (j *jobContent) unsavedParts(minEvents int) []partRecord {
 	var out []partRecord
 	for i := range j.texts {
 		t := &j.texts[i]
-		if j.listed[i] || len(t.events)-t.savedEvents < minEvents {
+		if j.listed[i] || !t.unsaved(minEvents) {
 			continue
 		}
 		out = append(out, partRecord{
@@ -134,7 +165,7 @@
 // events.
 func (j *jobContent) hasUnsavedParts(minEvents int) bool {
 	for i := range j.texts {
-		if !j.listed[i] && len(j.texts[i].events)-j.texts[i].savedEvents >= minEvents {
+		if !j.listed[i] && j.texts[i].unsaved(minEvents) {
 			return true
 		}
 	}
--- a/pkg/platform/link/answer.go
+++ b/pkg/platform/link/answer.go
@@ -22,6 +22,39 @@
 	return b, nil
 }
 
+// ReadAnswer reads the body of an answer of up to limit bytes. A longer one gives an
+// error that wraps platform.ErrTooLong; if its length is known, nothing of it is read.
+func ReadAnswer(res *http.Response, limit int64) ([]byte, error) {
+	if res.ContentLength > limit {
+		return nil, fmt.Errorf("read body of %d bytes: %w", res.ContentLength, platform.ErrTooLong)
+	}
+	if res.ContentLength < 0 {
+		return ReadAll(res.Body, limit)
+	}
+	b := make([]byte, res.ContentLength)
+	if _, err := io.ReadFull(res.Body, b); err != nil {
+		return nil, fmt.Errorf("read body: %w", err)
+	}
+	return b, nil
+}
+
+// ReadStart reads the body of an answer of up to limit bytes and keeps up to n bytes of
+// it. A longer body gives an error that wraps platform.ErrTooLong.
+func ReadStart(res *http.Response, n, limit int64) ([]byte, error) {
+	start, err := io.ReadAll(io.LimitReader(res.Body, n))
+	if err != nil {
+		return nil, fmt.Errorf("read body: %w", err)
+	}
+	rest, err := io.Copy(io.Discard, io.LimitReader(res.Body, limit-n+1))
+	if err != nil {
+		return nil, fmt.Errorf("read body: %w", err)
+	}
+	if rest > limit-n {
+		return nil, fmt.Errorf("read body: %w", platform.ErrTooLong)
+	}
+	return start, nil
+}
+
 // AbortAnswer ends the handler of a request whose answer has begun, so that the answer
 // does not look complete. One over HTTP/1.0 may end with its connection, and then only
 // a reset tells that it is not.
--- a/pkg/platform/wire/client.go
+++ b/pkg/platform/wire/client.go
@@ -145,7 +145,7 @@
 		return newFailure(wrote, err)
 	}
 	defer res.Body.Close()
-	b, err := link.ReadAll(res.Body, maxResponseBytes)
+	b, err := link.ReadAnswer(res, maxResponseBytes)
 	if err != nil {
 		return newFailure(true, fmt.Errorf("read response: %w", err))
 	}
--- a/pkg/platform/wire/engine.go
+++ b/pkg/platform/wire/engine.go
@@ -27,6 +27,9 @@
 // maxChunkBytes is the maximum size of an encoded chunk in bytes.
 const maxChunkBytes = 1 << 20
 
+// maxRefusalText is the maximum number of bytes that are kept of the body of a refusal.
+const maxRefusalText = 200
+
 // Engines is a client of the HTTP interface of model engines and plain
 // services. It implements platform.Engine, Service, Loads and Swaps.
 type Engines struct {
@@ -69,8 +72,11 @@
 	}
 	defer res.Body.Close()
 	if res.StatusCode != http.StatusOK {
-		b, _ := io.ReadAll(io.LimitReader(res.Body, maxChunkBytes))
-		return statusError(res, b)
+		text, err := link.ReadStart(res, maxRefusalText, maxChunkBytes)
+		if err != nil {
+			return connectionFailure(ctx, true, fmt.Errorf("read refusal: %w", err))
+		}
+		return statusError(res, text)
 	}
 	return readChunks(ctx, res.Body, req.Request, each)
 }
@@ -129,7 +135,7 @@
 		return platform.Answer{}, connectionFailure(ctx, wrote, err)
 	}
 	defer res.Body.Close()
-	b, err := link.ReadAll(res.Body, maxResponseBytes)
+	b, err := link.ReadAnswer(res, maxResponseBytes)
 	if err != nil {
 		return platform.Answer{}, connectionFailure(ctx, true, fmt.Errorf("read response: %w", err))
 	}
