--- a/internal/edge/items.go
+++ b/internal/edge/items.go
@@ -298,7 +298,7 @@
 
 // keepEvent adds an event to the item's text. It returns an error if the event
 // does not follow the last one, if this run may not add it, or if the text breaks a
-// bound: an event holds at least one of the tokens that the item may have.
+// bound.
 func (r *run) keepEvent(ev platform.Event) error {
 	if r.lastEvent < 0 && ev.ID > maxFirstEvent || r.lastEvent >= 0 && ev.ID != r.lastEvent+1 {
 		return fmt.Errorf("got event %d after event %d", ev.ID, r.lastEvent)
@@ -314,10 +314,6 @@
 			err = errMixedVersions
 			return
 		}
-		if most := c.job.Items[r.e.Item].Tokens; most > 0 && ev.ID > int64(most) {
-			err = errTextTooLong
-			return
-		}
 		if !t.continued {
 			t.startLineage(fmt.Sprintf("%s/%d", r.p.state.Self, r.e.Run))
 		}
