edge: jobs take a bounded part of memory

Cause: the budget for bodies counted a job once, but it is decoded, encoded and kept several times; the largest size of an object was compared with nothing; open and closed jobs counted nowhere; all stored jobs were read at once after a restart of the fleet.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -107,6 +107,10 @@
 		if j := s.Jobs[e.Job]; j != nil && j.Ahead {
 			s.release(j, v, out)
 		}
+	case op.JobSurplus:
+		if j := s.Jobs[e.Job]; j != nil && j.Closed() {
+			s.release(j, v, out)
+		}
 	case op.JobOutputUnsaved:
 		if j := s.Jobs[e.Job]; j != nil {
 			j.SaveWanted = true
--- a/internal/edge/accept.go
+++ b/internal/edge/accept.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"strings"
@@ -29,8 +30,16 @@
 	jobRetryAfter clock.Millis = 400
 )
 
-// acceptJob decodes a submitted job, stores it and answers the caller.
+// acceptJob decodes a submitted job, stores it and answers the caller. While there is no
+// room for it in memory, it refuses the job.
 func (cr *callerRequest) acceptJob(e op.AcceptJob) {
+	release, err := cr.roomForJob()
+	if err != nil {
+		cr.log("no room for a job", logrus.Fields{"Error": err.Error(), "Length": len(cr.body)})
+		cr.respond(op.Respond{Status: http.StatusServiceUnavailable, Reason: op.Overloaded, Outcome: unit.NotRun, RetryAfter: jobRetryAfter})
+		return
+	}
+	defer release()
 	job, err := cr.p.deps.Ingress.Job(string(cr.headers.Attempt), cr.body)
 	if err != nil || job.ID == "" || strings.Contains(job.ID, "/") {
 		cr.log("submitted job could not be decoded", logrus.Fields{"Error": fmt.Sprint(err)})
@@ -48,6 +57,11 @@
 		cr.respond(op.Respond{Status: http.StatusBadRequest, Reason: op.BadJob, Outcome: unit.NotRun})
 		return
 	}
+	if most := cr.p.environment.Bounds.ValueBytes; most > 0 && len(write.value) > most {
+		cr.log("job is too long for the store", logrus.Fields{"Length": len(write.value)})
+		cr.respond(op.Respond{Status: http.StatusRequestEntityTooLarge, Reason: op.BadJob, Outcome: unit.NotRun})
+		return
+	}
 	ctx := cr.r.Context()
 	var stored <-chan struct{}
 	if err = write.try(ctx); err != nil {
@@ -73,6 +87,17 @@
 	}
 }
 
+// roomForJob waits for room for the items that a job's body decodes to, and returns a
+// function that gives it back. The room for the body's own copies is held already.
+func (cr *callerRequest) roomForJob() (release func(), err error) {
+	if cr.p.contents.full() {
+		return nil, fmt.Errorf("%w: open jobs take too much memory", errNoRoom)
+	}
+	// Each item is an object of its own.
+	items := int64(bytes.Count(cr.body, []byte("{")))
+	return cr.p.bodies.acquire(cr.r.Context(), items*jobItemBytes)
+}
+
 // answerAccepted answers the submission of a job that is in the store. This
 // instance becomes the job's owner if ownDirectly is set, which means that no
 // other instance can know of the job yet. If its items run ahead, the instance
--- a/internal/edge/body.go
+++ b/internal/edge/body.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"time"
 
@@ -13,6 +14,7 @@
 
 	"github.com/catkinhead/catkinhead/internal/op"
 	"github.com/catkinhead/catkinhead/pkg/clock"
+	"github.com/catkinhead/catkinhead/pkg/platform"
 	"github.com/catkinhead/catkinhead/pkg/unit"
 )
 
@@ -31,6 +33,14 @@
 	bodyMemoryShare = 4
 	// maxBodyWait is how long a request waits for room for its body.
 	maxBodyWait = time.Second
+	// jobCopies is how many times the length of its body the submission of a job takes
+	// at most: the body, what it decodes to, and the record as it is encoded and sent.
+	jobCopies = 8
+	// jobItemBytes is what an item takes beside its text, in bytes.
+	jobItemBytes = 1 << 10
+	// maxBlanks is how many times longer a job may be than its record: the blanks between
+	// its fields are not stored.
+	maxBlanks = 2
 	// bodyRetryAfter is the Retry-After hint if there is no room.
 	bodyRetryAfter clock.Millis = 400
 )
@@ -88,13 +98,21 @@
 // readBody reads the body within the configured limit and the budget. If that fails,
 // it answers the caller and returns false. release gives the room back.
 func (cr *callerRequest) readBody() (release func(), ok bool) {
-	limit := cr.p.bodyLimit()
+	limit, copies := cr.p.bodyLimit(), int64(1)
+	if most, isJob := cr.jobLimit(); isJob {
+		copies = jobCopies
+		if most < limit && cr.r.ContentLength > most && cr.r.ContentLength <= limit {
+			cr.refuseLongJob()
+			return nil, false
+		}
+		limit = min(limit, most)
+	}
 	rc := http.NewResponseController(cr.w)
 	if cr.r.ContentLength != 0 {
 		// Where deadlines are not supported, the server's own timeout applies.
 		_ = rc.SetReadDeadline(time.Now().Add(bodyReadTimeout))
 	}
-	body, release, err := cr.p.bodies.read(cr.r.Context(), http.MaxBytesReader(cr.w, cr.r.Body, limit), cr.r.ContentLength, limit)
+	body, release, err := cr.p.bodies.read(cr.r.Context(), http.MaxBytesReader(cr.w, cr.r.Body, limit), bodySize{cr.r.ContentLength, limit, copies})
 	if cr.r.ContentLength != 0 {
 		_ = rc.SetReadDeadline(time.Time{})
 	}
@@ -106,6 +124,34 @@
 	return release, true
 }
 
+// jobLimit returns the longest job that can be stored, in bytes, and whether the request
+// submits one.
+func (cr *callerRequest) jobLimit() (most int64, isJob bool) {
+	most = math.MaxInt64
+	cr.p.withState(func(_ clock.Millis, s *State) {
+		if s.Table == nil {
+			return
+		}
+		rule, ok := s.Table.Match(cr.r.Host, cr.r.URL.Path)
+		isJob = ok && rule.Repeat == platform.Batch
+		if v := int64(s.Environment.Bounds.ValueBytes); v > 0 {
+			most = maxBlanks * v
+		}
+	})
+	return most, isJob
+}
+
+// refuseLongJob answers the submission of a job that the store cannot take. It reads past
+// the body first: a caller that is still writing would lose the answer.
+func (cr *callerRequest) refuseLongJob() {
+	rc := http.NewResponseController(cr.w)
+	_ = rc.SetReadDeadline(time.Now().Add(bodyReadTimeout))
+	_, err := io.Copy(io.Discard, cr.r.Body)
+	_ = rc.SetReadDeadline(time.Time{})
+	cr.log("job is too long for the store", logrus.Fields{"Length": cr.r.ContentLength, "Error": fmt.Sprint(err)})
+	cr.respond(op.Respond{Status: http.StatusRequestEntityTooLarge, Reason: op.BadJob, Outcome: unit.NotRun})
+}
+
 // refuseBody answers a request whose body could not be read.
 func (cr *callerRequest) refuseBody(err error) {
 	cr.log("body not read", logrus.Fields{"Error": err.Error(), "Length": cr.r.ContentLength})
@@ -133,19 +179,28 @@
 	return limit
 }
 
-// read reads a body of at most limit bytes. length is -1 if it is not known; a body
-// that turns out not to be small then needs room for two of the longest.
-func (b bodyBudget) read(ctx context.Context, r io.Reader, length, limit int64) (body []byte, release func(), err error) {
-	if length < 0 {
-		return b.readUnsized(ctx, r, limit)
+// bodySize is what is known of the size of a body before it is read.
+type bodySize struct {
+	// length is that of the body, -1 if it is not known, limit the longest allowed, both
+	// in bytes.
+	length, limit int64
+	// copies is how many times its length the request takes.
+	copies int64
+}
+
+// read reads a body. One whose length is not known and that turns out not to be small
+// needs room for two of the longest.
+func (b bodyBudget) read(ctx context.Context, r io.Reader, size bodySize) (body []byte, release func(), err error) {
+	if size.length < 0 {
+		return b.readUnsized(ctx, r, size)
 	}
-	if length > limit {
-		return nil, nil, &http.MaxBytesError{Limit: limit}
+	if size.length > size.limit {
+		return nil, nil, &http.MaxBytesError{Limit: size.limit}
 	}
-	if release, err = b.acquire(ctx, length); err != nil {
+	if release, err = b.acquire(ctx, size.length*size.copies); err != nil {
 		return nil, nil, err
 	}
-	body = make([]byte, length)
+	body = make([]byte, size.length)
 	if _, err = io.ReadFull(r, body); err != nil {
 		release()
 		return nil, nil, fmt.Errorf("read body: %w", err)
@@ -154,7 +209,7 @@
 }
 
 // readUnsized reads a body whose length is not known.
-func (b bodyBudget) readUnsized(ctx context.Context, r io.Reader, limit int64) (body []byte, release func(), err error) {
+func (b bodyBudget) readUnsized(ctx context.Context, r io.Reader, size bodySize) (body []byte, release func(), err error) {
 	if body, err = io.ReadAll(io.LimitReader(r, smallBody)); err != nil {
 		return nil, nil, fmt.Errorf("read body: %w", err)
 	}
@@ -162,7 +217,7 @@
 		return body, func() {}, nil
 	}
 	// A buffer that grows is copied.
-	if release, err = b.acquire(ctx, 2*limit); err != nil {
+	if release, err = b.acquire(ctx, size.limit*max(size.copies, 2)); err != nil {
 		return nil, nil, err
 	}
 	rest, err := io.ReadAll(r)
--- a/internal/edge/body_test.go
+++ b/internal/edge/body_test.go
@@ -35,7 +35,7 @@
 				if n >= 0 {
 					length = n
 				}
-				body, release, err := b.read(context.Background(), strings.NewReader(strings.Repeat("x", int(length))), n, memory)
+				body, release, err := b.read(context.Background(), strings.NewReader(strings.Repeat("x", int(length))), bodySize{n, memory, 1})
 				if last := i == len(tt.lengths)-1; !last && err != nil || last && (err == nil) != tt.fits {
 					t.Fatalf("body %d of %d bytes: %v", i, n, err)
 				}
@@ -60,15 +60,15 @@
 	const memory, limit = 4 << 20, 1 << 20
 	b := newBodyBudget(memory)
 	for range 20 {
-		if _, _, err := b.read(context.Background(), strings.NewReader("cut"), limit, limit); err == nil {
+		if _, _, err := b.read(context.Background(), strings.NewReader("cut"), bodySize{limit, limit, 1}); err == nil {
 			t.Fatal("a body that broke off is complete")
 		}
 		var tooLarge *http.MaxBytesError
-		if _, _, err := b.read(context.Background(), strings.NewReader(""), limit+1, limit); !errors.As(err, &tooLarge) {
+		if _, _, err := b.read(context.Background(), strings.NewReader(""), bodySize{limit + 1, limit, 1}); !errors.As(err, &tooLarge) {
 			t.Fatalf("a body that is too long gives %v", err)
 		}
 	}
-	_, release, err := b.read(context.Background(), strings.NewReader(strings.Repeat("x", limit)), limit, limit)
+	_, release, err := b.read(context.Background(), strings.NewReader(strings.Repeat("x", limit)), bodySize{limit, limit, 1})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/edge/content.go
+++ b/internal/edge/content.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"encoding/json"
 	"slices"
 	"strings"
@@ -20,12 +21,19 @@
 	// textBytes is what the texts take, as of the last measureTexts, with what was added
 	// since. maxTextBytes bounds it for texts longer than longText; 0 means no bound.
 	textBytes, maxTextBytes int64
+	// jobBytes is what the jobs take, as of the last measure, without their texts.
+	// maxJobBytes bounds it; 0 means no bound.
+	jobBytes, maxJobBytes int64
 }
 
 const (
 	// textMemoryShare is the part of the process's memory that texts may take: one in
 	// textMemoryShare.
 	textMemoryShare = 4
+	// jobMemoryShare is the part of the process's memory that jobs may take without their
+	// texts: one in jobMemoryShare. Beyond it, closed jobs are read from the store again,
+	// and no new ones are accepted.
+	jobMemoryShare = 4
 	// longText is the length up to which a text is kept whatever others take, in bytes.
 	longText = 64 << 10
 )
@@ -50,6 +58,8 @@
 	results []platform.Result
 	chunks  int
 	ended   bool
+	// itemBytes is about what the items take, in bytes.
+	itemBytes int64
 	// texts are the outputs of the items, by their positions in job.Items.
 	texts []itemText
 	// listed marks the items that have a result.
@@ -90,7 +100,7 @@
 // newContentStore returns the contents of a process with a memory limit in bytes, 0 for
 // none.
 func newContentStore(memory int64) *contentStore {
-	return &contentStore{jobs: make(map[string]*jobContent), maxTextBytes: memory / textMemoryShare}
+	return &contentStore{jobs: make(map[string]*jobContent), maxTextBytes: memory / textMemoryShare, maxJobBytes: memory / jobMemoryShare}
 }
 
 // grow adds n bytes to the size of a text. The error is errTextTooLong if the text has no
@@ -108,22 +118,81 @@
 	return nil
 }
 
-// measureTexts measures what the texts take.
-func (c *contentStore) measureTexts() {
+// full reports whether the jobs took all the room that they may take when they were
+// last measured.
+func (c *contentStore) full() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.textBytes = 0
-	for _, j := range c.jobs {
-		for i := range j.texts {
-			if len(j.texts[i].events) > 0 {
-				c.textBytes += int64(j.texts[i].size)
-			}
+	return c.maxJobBytes > 0 && c.jobBytes > c.maxJobBytes
+}
+
+// measure measures what the jobs and their texts take. It returns the closed jobs that
+// are to be forgotten so that the others have room, the largest first.
+func (c *contentStore) measure() (surplus []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.textBytes, c.jobBytes = 0, 0
+	var closed []string
+	for id, j := range c.jobs {
+		c.textBytes += j.textBytes()
+		c.jobBytes += j.bytes()
+		if j.closed() {
+			closed = append(closed, id)
+		}
+	}
+	slices.SortFunc(closed, func(a, b string) int {
+		return cmp.Or(cmp.Compare(c.jobs[b].bytes(), c.jobs[a].bytes()), cmp.Compare(a, b))
+	})
+	left := c.jobBytes
+	for _, id := range closed {
+		if c.maxJobBytes == 0 || left <= c.maxJobBytes/2 || len(surplus) == 0 && left <= c.maxJobBytes {
+			break
 		}
+		left -= c.jobs[id].bytes()
+		surplus = append(surplus, id)
+	}
+	return surplus
+}
+
+// closed reports whether no more results will be listed.
+func (j *jobContent) closed() bool { return j.ended || len(j.results) == len(j.job.Items) }
+
+// bytes returns what the job takes without its texts.
+func (j *jobContent) bytes() int64 {
+	n := j.itemBytes
+	for i := range j.results {
+		n += int64(len(j.results[i].Text))
+	}
+	return n
+}
+
+// textBytes returns what the texts of the job take.
+func (j *jobContent) textBytes() int64 {
+	n := int64(0)
+	for i := range j.texts {
+		if len(j.texts[i].events) > 0 {
+			n += int64(j.texts[i].size)
+		}
+	}
+	return n
+}
+
+// itemBytes returns about what an item takes, in bytes.
+func itemBytes(it platform.Item) int64 {
+	n := jobItemBytes + len(it.Body)
+	for k, v := range it.Headers {
+		n += len(k) + len(v)
+	}
+	if it.Reward != nil {
+		n += len(it.Reward.Body)
 	}
+	return int64(n)
 }
 
 // newJobContent returns the content of a job without texts and results.
 func newJobContent(record jobRecord, job platform.Job) *jobContent {
+	// What the items need of the body is decoded.
+	record.Body = nil
 	c := &jobContent{
 		record: record, job: job, index: make(map[string]int, len(job.Items)),
 		texts: make([]itemText, len(job.Items)), listed: make([]bool, len(job.Items)), changed: make(chan struct{}),
@@ -131,6 +200,7 @@
 	for i, it := range job.Items {
 		c.index[it.ID] = i
 		c.texts[i].lastEvent = -1
+		c.itemBytes += itemBytes(it)
 	}
 	return c
 }
--- a/internal/edge/jobs.go
+++ b/internal/edge/jobs.go
@@ -7,6 +7,7 @@
 	"fmt"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/catkinhead/catkinhead/internal/op"
 	"github.com/catkinhead/catkinhead/pkg/clock"
@@ -27,6 +28,26 @@
 	recentJobAge = 30 * clock.Second
 )
 
+const (
+	// loadMemoryShare is the part of the process's memory that jobs may take that are
+	// being read from the store for callers: one in loadMemoryShare. loadCopies is how
+	// many times the size of the largest object each takes.
+	loadMemoryShare = 4
+	loadCopies      = 4
+	// defaultLoads is how many jobs are read at once if no memory limit is known.
+	defaultLoads = 16
+)
+
+// newLoads returns how many jobs a process may read from the store for callers at once.
+// A takeover does not wait for them.
+func newLoads(environment platform.Environment) *semaphore.Weighted {
+	if environment.Memory <= 0 || environment.Bounds.ValueBytes <= 0 {
+		return semaphore.NewWeighted(defaultLoads)
+	}
+	n := environment.Memory / loadMemoryShare / int64(loadCopies*environment.Bounds.ValueBytes)
+	return semaphore.NewWeighted(max(n, 1))
+}
+
 // chunkKey returns the key of a chunk of a job's results.
 func chunkKey(job string, n int) string { return fmt.Sprintf("%s%s/%06d", chunksKind, job, n) }
 
@@ -95,25 +116,24 @@
 // listJobs lists the stored jobs that are recent. After a restart of the whole
 // fleet it is possible that no instance knows them.
 func (p *Process) listJobs(ctx context.Context) {
-	objects, _, err := p.deps.Store.ListKind(ctx, jobsKind)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
-		p.log.WithField("Error", err.Error()).Warn("jobs not listed")
-		p.apply(op.JobsListed{Result: op.Lost})
-		return
-	}
-	found := op.JobsListed{Result: op.Done}
-	now := p.clock.Wall()
-	for _, o := range objects {
-		var record jobRecord
+	found, jobs, now := op.JobsListed{Result: op.Done}, 0, p.clock.Wall()
+	err := p.deps.Store.WalkKind(ctx, jobsKind, func(o platform.Object) {
+		jobs++
+		var record struct{ SubmittedAt int64 }
 		if err := json.Unmarshal(o.Value, &record); err != nil {
 			p.log.WithFields(logrus.Fields{"Object": o.Key, "Error": err.Error()}).Error("stored job could not be decoded")
-			continue
+			return
 		}
 		if now-clock.Millis(record.SubmittedAt) < recentJobAge {
 			found.Jobs = append(found.Jobs, objectName(o))
 		}
+	})
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		p.log.WithField("Error", err.Error()).Warn("jobs not listed")
+		p.apply(op.JobsListed{Result: op.Lost})
+		return
 	}
-	p.log.WithFields(logrus.Fields{"Jobs": len(objects), "Recent": len(found.Jobs)}).Info("jobs listed")
+	p.log.WithFields(logrus.Fields{"Jobs": jobs, "Recent": len(found.Jobs)}).Info("jobs listed")
 	p.apply(found)
 }
 
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -9,6 +9,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/catkinhead/catkinhead/internal/build"
 	"github.com/catkinhead/catkinhead/internal/op"
@@ -23,7 +24,8 @@
 
 // maintenanceTicks is the number of ticks in a round of maintenance. Once per
 // round the targets' mean times between output events are compared, expired texts
-// of ended jobs are dropped, the others are measured, and unsaved texts of other jobs are stored.
+// of ended jobs are dropped, the others are measured and closed
+// jobs forgotten if they take too much, and unsaved texts of other jobs are stored.
 const maintenanceTicks = 6
 
 // ObjectStore is the part of the platform's object store that an instance uses.
@@ -61,6 +63,8 @@
 	contents    *contentStore
 	transport   *peerTransport
 	bodies      bodyBudget
+	// loads bounds how many jobs are read from the store for callers at once.
+	loads *semaphore.Weighted
 	// mu guards state. Events are applied one at a time.
 	mu    sync.Mutex
 	state *State
@@ -94,6 +98,7 @@
 	p := &Process{
 		environment: environment, deps: deps, clock: c, contents: newContentStore(environment.Memory), relay: relay,
 		bodies:  newBodyBudget(environment.Memory),
+		loads:   newLoads(environment),
 		log:     log.WithFields(logrus.Fields{"Instance": environment.Instance}),
 		state:   NewState(environment, self, c.Now()),
 		mirrors: map[string]*mirror{deps.Kinds.Configuration: newMirror(), deps.Kinds.Targets: newMirror()},
@@ -142,7 +147,10 @@
 				p.apply(e)
 			}
 			p.contents.dropExpiredTexts(p.clock.Now())
-			p.contents.measureTexts()
+			for _, job := range p.contents.measure() {
+				p.log.WithField("Job", job).Info("closed job is forgotten: jobs take too much memory")
+				p.apply(op.JobSurplus{Job: job})
+			}
 			for _, job := range p.contents.unsavedJobs() {
 				p.apply(op.JobOutputUnsaved{Job: job})
 			}
--- a/internal/edge/results.go
+++ b/internal/edge/results.go
@@ -160,6 +160,10 @@
 	if call.Call == platform.EndJob {
 		return p.endStoredJob(ctx, w, call)
 	}
+	if err := p.loads.Acquire(ctx, 1); err != nil {
+		return jobAnswer{status: http.StatusServiceUnavailable, err: fmt.Errorf("wait to read job: %w", err)}
+	}
+	defer p.loads.Release(1)
 	c, _, err := p.loadJob(ctx, call.Job)
 	if errors.Is(err, platform.ErrNotFound) {
 		return jobAnswer{status: http.StatusNotFound}
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -168,7 +168,7 @@
 		s.Batch.Reduce(now, ev, s.batchView(), out)
 		s.recordOwnedJobs(now)
 		s.sendHeartbeats(now, out)
-	case op.JobOwnershipLost, op.JobStored, op.JobNotStored, op.JobOutputUnsaved, op.ItemRunEnded, op.RewardCallEnded, op.ChunkAppended, op.EndRequested, op.ItemsRepeated:
+	case op.JobOwnershipLost, op.JobStored, op.JobNotStored, op.JobOutputUnsaved, op.JobSurplus, op.ItemRunEnded, op.RewardCallEnded, op.ChunkAppended, op.EndRequested, op.ItemsRepeated:
 		owned := len(s.Batch.Jobs)
 		s.Batch.Reduce(now, ev, s.batchView(), out)
 		if len(s.Batch.Jobs) < owned {
--- a/internal/edge/store_test.go
+++ b/internal/edge/store_test.go
@@ -79,6 +79,8 @@
 	return nil, 0, nil
 }
 
+func (m *memoryStore) WalkKind(context.Context, string, func(platform.Object)) error { return nil }
+
 func (m *memoryStore) Follow(context.Context, string, unit.Revision, time.Duration) ([]platform.Change, unit.Revision, error) {
 	return nil, 0, nil
 }
@@ -89,6 +91,7 @@
 	log.SetOutput(io.Discard)
 	return &Process{
 		deps: Dependencies{Store: store}, clock: clock.System{}, log: logrus.NewEntry(log), contents: newContentStore(0),
+		loads: newLoads(platform.Environment{}),
 		state: NewState(platform.Environment{Instance: "a"}, "a#1", 0),
 	}
 }
--- a/internal/op/edge_event.go
+++ b/internal/op/edge_event.go
@@ -184,6 +184,7 @@
 func (JobStored) event()            {}
 func (JobNotStored) event()         {}
 func (JobOutputUnsaved) event()     {}
+func (JobSurplus) event()           {}
 func (ItemRunEnded) event()         {}
 func (RewardCallEnded) event()      {}
 func (ChunkAppended) event()        {}
--- a/internal/op/job_event.go
+++ b/internal/op/job_event.go
@@ -154,6 +154,10 @@
 // not stored yet to be worth a write.
 type JobOutputUnsaved struct{ Job string }
 
+// JobSurplus means that a job is to be forgotten if it is closed, since the contents of
+// jobs take too much memory. It is read from the store then.
+type JobSurplus struct{ Job string }
+
 // ChunkAppended is the result of AppendChunk. Unless the result is Lost, Other
 // is the stored chunk with that number, whichever instance wrote it.
 type ChunkAppended struct {
--- a/pkg/platform/hosted.go
+++ b/pkg/platform/hosted.go
@@ -200,6 +200,8 @@
 type Feed interface {
 	// ListKind returns all objects of a kind and the store's revision.
 	ListKind(ctx context.Context, kind string) ([]Object, unit.Revision, error)
+	// WalkKind calls f with each object of a kind, without holding all of them at once.
+	WalkKind(ctx context.Context, kind string, f func(Object)) error
 	// ListStale is a cheaper ListKind whose result may be seconds old.
 	ListStale(ctx context.Context, kind string) ([]Object, unit.Revision, error)
 	// Follow waits up to wait for changes after a revision. It returns the
