edge: only a target that takes no connections counts as crashed

Cause: each connection that ended before the answer counted as a crash, none that ended later did.

Change: if the connection ends before the answer is whole, the target is asked for a new one, and a crash counts only if it takes none within 100 ms.

--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
@@ -29,6 +31,10 @@
 	mailboxSize = 4
 )
 
+// crashProbeTime is how long a target whose connection broke has to take a new one. One
+// that does not has crashed.
+const crashProbeTime = 100 * time.Millisecond
+
 // deliver hands an effect to the goroutine of a request, unless the request has
 // ended.
 func (p *Process) deliver(id op.CallID, e op.Effect) {
@@ -168,7 +174,7 @@
 	var failure *platform.Failure
 	if errors.As(err, &failure) {
 		ended.Outcome, ended.Leaving = failure.Outcome, failure.Leaving
-		ended.Crashed = failure.Crashed && ctx.Err() == nil
+		ended.Crashed = failure.Crashed && ctx.Err() == nil && !link.Reachable(ctx, e.Address, crashProbeTime)
 	}
 	ended.Whole = err == nil
 	cr.logAttempt(e, ended, sent, err)
@@ -202,7 +208,7 @@
 	defer release()
 	body, whole, err := readStart(reply, held)
 	if err != nil {
-		return &platform.Failure{Outcome: unit.Unknown, Err: err}
+		return &platform.Failure{Outcome: unit.Unknown, Crashed: brokeOff(err), Err: err}
 	}
 	if whole && reply.Length < 0 {
 		reply.Length = int64(len(body))
@@ -215,6 +221,11 @@
 	return cr.streamBody(reply.Body)
 }
 
+// brokeOff reports whether an error of a reply's body means that its connection ended.
+func brokeOff(err error) bool {
+	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
+}
+
 // heldBytes returns how much of a reply is held back, in bytes: all of a short one, as
 // much of one whose length is not known, and nothing of a stream or a long one.
 func (cr *callerRequest) heldBytes(reply *platform.Reply, streaming bool) int64 {
@@ -280,7 +291,7 @@
 			return nil
 		}
 		if err != nil {
-			return &platform.Failure{Outcome: unit.Unknown, Err: fmt.Errorf("read reply: %w", err)}
+			return &platform.Failure{Outcome: unit.Unknown, Crashed: brokeOff(err), Err: fmt.Errorf("read reply: %w", err)}
 		}
 	}
 }
--- a/internal/op/edge_event.go
+++ b/internal/op/edge_event.go
@@ -49,7 +49,8 @@
 	Outcome unit.Outcome
 	// Leaving is set if the target has said that it is going to stop.
 	Leaving bool
-	// Crashed is set if the connection broke before any answer.
+	// Crashed is set if the connection broke before the answer was whole, and the target
+	// takes no new one.
 	Crashed bool
 	// SentAt is when the attempt was sent.
 	SentAt clock.Millis
