lease: a process at another address proves nothing about the holder

Cause: that a holder has restarted was concluded from another incarnation of its name, this process itself or one that is heard, wherever it runs. Two machines can bear one name for a while.

Evidence: two rows of TestLeaseTakeoverTime and two of TestRestartedHolderKeepsFence. The latter asked for the takeover after the grace alone (1 s); they ask for the end of the term before it now (4 s), which is stricter.

Change: only a later incarnation at the address in the record proves the restart.

--- a/internal/edge/heartbeats.go
+++ b/internal/edge/heartbeats.go
@@ -32,7 +32,7 @@
 // heartbeatReceived applies a peer's heartbeat. It drops the jobs that the peer
 // owns under a higher epoch.
 func (s *State) heartbeatReceived(now clock.Millis, h op.Heartbeat, out *op.List) {
-	s.Leases.ObserveHeartbeat(now, h.Incarnation)
+	s.Leases.ObserveHeartbeat(now, h.Incarnation, h.Address)
 	if h.Lease > 0 {
 		s.Leases.ObserveRenewal(now, dutiesScope, h.Lease)
 	}
--- a/internal/lease/acquire.go
+++ b/internal/lease/acquire.go
@@ -93,19 +93,14 @@
 
 // holderRestartedAt returns a time by which the incarnation named in the record
 // had ended. That is proven by a later heartbeat from another incarnation of its
-// instance, or because this process is itself another incarnation of that
-// instance. There is no proof if heartbeats are not observed, as in package
+// instance at its address. There is no proof if heartbeats are not observed, as in package
 // decide.
 func (s *State) holderRestartedAt(l *Lease) (clock.Millis, bool) {
-	holder := instanceOf(l.Record.Holder)
-	if s.lastSeen == nil || holder == "" {
+	h := s.lastSeen[instanceOf(l.Record.Holder)]
+	if h.incarnation == "" || h.incarnation == l.Record.Holder || h.at < l.SeenAt+restartMargin {
 		return 0, false
 	}
-	if holder == instanceOf(s.Self) {
-		return 0, true
-	}
-	h := s.lastSeen[holder]
-	if h.incarnation == "" || h.incarnation == l.Record.Holder || h.at < l.SeenAt+restartMargin {
+	if h.address == "" || h.address != l.Record.Address {
 		return 0, false
 	}
 	return max(h.since, l.SeenAt), true
--- a/internal/lease/observe.go
+++ b/internal/lease/observe.go
@@ -14,23 +14,25 @@
 // successor.
 const restartMargin clock.Millis = 300
 
-// seenIncarnation is an incarnation and the times of its first and its latest
-// heartbeat.
+// seenIncarnation is an incarnation, its address, and the times of its first and its
+// latest heartbeat.
 type seenIncarnation struct {
 	incarnation unit.Incarnation
+	address     string
 	since, at   clock.Millis
 }
 
-// ObserveHeartbeat records a heartbeat from an incarnation. If a different
-// incarnation of the same instance holds a lease, its term is over, because two
-// incarnations of an instance never run at the same time.
-func (s *State) ObserveHeartbeat(now clock.Millis, i unit.Incarnation) {
+// ObserveHeartbeat records a heartbeat from an incarnation at an address. If a different
+// incarnation of the same instance, at the same address, holds a lease, its term is over:
+// no two processes have one address at the same time. At another address the former one
+// may still be running.
+func (s *State) ObserveHeartbeat(now clock.Millis, i unit.Incarnation, address string) {
 	if s.lastSeen == nil {
 		s.lastSeen = make(map[unit.Instance]seenIncarnation)
 	}
 	seen := s.lastSeen[instanceOf(i)]
 	if seen.incarnation != i {
-		seen = seenIncarnation{incarnation: i, since: now}
+		seen = seenIncarnation{incarnation: i, address: address, since: now}
 	}
 	seen.at = now
 	s.lastSeen[instanceOf(i)] = seen
--- a/internal/lease/release_test.go
+++ b/internal/lease/release_test.go
@@ -183,7 +183,7 @@
 // TestRestartedHolderKeepsFence guards against a restarted holder that waits for
 // itself, that takes a higher fencing token than its own late calls have, or that
 // releases the lease before these can arrive no more. At another address it may be
-// another machine, and waits. After two restarts in a row it leaves the lease to
+// another machine, and waits until the term has lapsed: the holder may be running. After two restarts in a row it leaves the lease to
 // others.
 func TestRestartedHolderKeepsFence(t *testing.T) {
 	tests := map[string]struct {
@@ -196,14 +196,14 @@
 		"same machine":         {"10.0.0.1:80", 0, 0, 4, testTimes.Grace},
 		"second restart":       {"10.0.0.1:80", 1, 0, 4, testTimes.Grace},
 		"third restart":        {"10.0.0.1:80", 2, -1, 0, -1},
-		"other machine":        {"10.0.0.2:80", 0, testTimes.Grace, 5, 1050},
-		"other, third restart": {"10.0.0.2:80", 2, testTimes.Grace, 5, 1050},
+		"other machine":        {"10.0.0.2:80", 0, testTimes.Duration + testTimes.Grace, 5, 4050},
+		"other, third restart": {"10.0.0.2:80", 2, testTimes.Duration + testTimes.Grace, 5, 4050},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			record := op.LeaseRecord{Holder: "a#1", Address: "10.0.0.1:80", Fence: 4, Restarts: tt.restarts}
 			o, s := &storedLease{record: record, revision: 7}, &State{Self: "a#2", Address: tt.address, Times: testTimes}
-			s.ObserveHeartbeat(0, "c#1")
+			s.ObserveHeartbeat(0, "c#1", "10.0.0.9:80")
 			s.SetWanted(scope, true)
 			acquired := clock.Millis(-1)
 			for now := clock.Millis(0); now < 5000; now += 50 {
--- a/internal/lease/restart_test.go
+++ b/internal/lease/restart_test.go
@@ -15,7 +15,7 @@
 // events at their times.
 func acquiredAt(s *State, events map[clock.Millis]func(*State)) clock.Millis {
 	s.SetWanted(scope, true)
-	record := op.LeaseRecord{Holder: "b#1", Fence: 3, Beat: 9}
+	record := op.LeaseRecord{Holder: "b#1", Address: "10.0.0.2:80", Fence: 3, Beat: 9}
 	for now := clock.Millis(0); now < 30_000; now += 50 {
 		if f := events[now]; f != nil {
 			f(s)
@@ -47,20 +47,26 @@
 	}{
 		"no heartbeat from the holder": {nil, 3700, 3950},
 		"a restarted holder": {map[clock.Millis]func(*State){
-			1000: func(s *State) { s.ObserveHeartbeat(1000, "b#2") },
+			1000: func(s *State) { s.ObserveHeartbeat(1000, "b#2", "10.0.0.2:80") },
 		}, 1700, 1950},
 		"a restarted holder that is heard again": {map[clock.Millis]func(*State){
-			1000: func(s *State) { s.ObserveHeartbeat(1000, "b#2") },
-			1500: func(s *State) { s.ObserveHeartbeat(1500, "b#2") },
+			1000: func(s *State) { s.ObserveHeartbeat(1000, "b#2", "10.0.0.2:80") },
+			1500: func(s *State) { s.ObserveHeartbeat(1500, "b#2", "10.0.0.2:80") },
 		}, 1700, 1950},
+		"another machine of the holder's name": {map[clock.Millis]func(*State){
+			1000: func(s *State) { s.ObserveHeartbeat(1000, "b#2", "10.0.0.3:80") },
+		}, 3700, 3950},
+		"a heartbeat without an address": {map[clock.Millis]func(*State){
+			1000: func(s *State) { s.ObserveHeartbeat(1000, "b#2", "") },
+		}, 3700, 3950},
 		"a heartbeat that may be older than the lease": {map[clock.Millis]func(*State){
-			200: func(s *State) { s.ObserveHeartbeat(200, "b#0") },
+			200: func(s *State) { s.ObserveHeartbeat(200, "b#0", "10.0.0.2:80") },
 		}, 3700, 3950},
 		"a heartbeat from the holder itself": {map[clock.Millis]func(*State){
-			1000: func(s *State) { s.ObserveHeartbeat(1000, "b#1") },
+			1000: func(s *State) { s.ObserveHeartbeat(1000, "b#1", "10.0.0.2:80") },
 		}, 3700, 3950},
 		"a heartbeat from a third instance": {map[clock.Millis]func(*State){
-			1000: func(s *State) { s.ObserveHeartbeat(1000, "c#2") },
+			1000: func(s *State) { s.ObserveHeartbeat(1000, "c#2", "10.0.0.2:80") },
 		}, 3700, 3950},
 	}
 	for name, tt := range tests {
