edge: a configuration that cannot be decoded is not confirmed

Keys that it withdraws would be accepted for ever (CONFIG).

Change: the former one stays in force, and its freshness ends as if the store did not answer; a metric counts it.

--- a/internal/edge/feeds.go
+++ b/internal/edge/feeds.go
@@ -225,10 +225,14 @@
 
 // followConfiguration applies the configurations in the store until ctx ends.
 func (p *Process) followConfiguration(ctx context.Context) {
+	// undecoded is set while the newest configuration could not be decoded.
+	undecoded := false
 	applyObject := func(o platform.Object) {
 		c, err := p.deps.Decoder.Configuration(o)
+		undecoded = err != nil
 		if err != nil {
-			p.log.WithFields(logrus.Fields{"Object": o.Key, "Revision": o.Revision, "Error": err.Error()}).Error("configuration could not be decoded")
+			p.metrics.GetOrCreateCounter("catkinhead_configurations_undecoded_total").Inc()
+			p.log.WithFields(logrus.Fields{"Object": o.Key, "Revision": o.Revision, "Error": err.Error()}).Error("configuration could not be decoded; the former one stays in force and is not confirmed")
 			return
 		}
 		p.apply(op.ConfigurationChanged{Configuration: c, Revision: o.Revision})
@@ -247,7 +251,7 @@
 			applyObject(c.Object)
 		}
 	}
-	f.onConfirm = func(upTo clock.Millis) { p.apply(op.StoreAnswered{AskedAt: upTo}) }
+	f.onConfirm = func(upTo clock.Millis) { p.apply(op.StoreAnswered{AskedAt: upTo, Undecoded: undecoded}) }
 	f.run(ctx)
 }
 
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -279,12 +279,16 @@
 	s.advance(now, out)
 }
 
-// storeAnswered records that the store confirmed the configuration.
+// storeAnswered records that the store confirmed the configuration, or that it has one
+// that cannot be decoded: that may withdraw keys, so the one in force is not confirmed.
 func (s *State) storeAnswered(now clock.Millis, e op.StoreAnswered) {
 	if s.StoreDownAt > 0 {
 		s.StoreDownAt = 0
 		s.Roster.StoreBackAt = now
 	}
+	if e.Undecoded {
+		return
+	}
 	s.ConfirmedAt = max(s.ConfirmedAt, e.AskedAt)
 	s.Confirmed = true
 }
--- a/internal/op/edge_event.go
+++ b/internal/op/edge_event.go
@@ -66,8 +66,12 @@
 }
 
 // StoreAnswered means that the store answered a read of the configuration that
-// was sent at AskedAt, so this instance's configuration is at least as recent.
-type StoreAnswered struct{ AskedAt clock.Millis }
+// was sent at AskedAt, so this instance's configuration is at least as recent, unless
+// the one that was read could not be decoded.
+type StoreAnswered struct {
+	AskedAt   clock.Millis
+	Undecoded bool
+}
 
 // StoreUnreachable means that reads from the store have begun to fail.
 type StoreUnreachable struct{}
