--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -16,6 +16,7 @@
 	"github.com/catkinhead/catkinhead/internal/taskgroup"
 	"github.com/catkinhead/catkinhead/pkg/clock"
 	"github.com/catkinhead/catkinhead/pkg/platform"
+	"github.com/catkinhead/catkinhead/pkg/platform/link"
 	"github.com/catkinhead/catkinhead/pkg/unit"
 )
 
@@ -291,6 +292,7 @@
 	set := metrics.NewSet()
 	set.NewGauge(build.Current().Metric(), func() float64 { return 1 })
 	set.NewGauge("catkinhead_store_calls_total", func() float64 { return float64(p.deps.StoreCalls()) })
+	set.NewGauge("catkinhead_silent_connections_total", func() float64 { return float64(link.Silences()) })
 	set.NewGauge("catkinhead_requests_running", func() float64 { return float64(p.activeRequests.Load()) })
 	set.NewGauge("catkinhead_configuration_age_seconds", func() float64 {
 		age := 0.0
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -186,7 +186,7 @@
 func (cr *callerRequest) logAttempt(e op.ForwardRequest, ended op.AttemptEnded, sent clock.Millis, err error) {
 	fields := logrus.Fields{
 		"Route": e.Route, "Target": e.Target, "Attempt": e.Attempt, "Outcome": ended.Outcome.String(),
-		"Whole": ended.Whole, "AttemptMillis": cr.p.clock.Now() - sent, "LeftMillis": e.Deadline - sent,
+		"Whole": ended.Whole, "Crashed": ended.Crashed, "AttemptMillis": cr.p.clock.Now() - sent, "LeftMillis": e.Deadline - sent,
 	}
 	if err != nil {
 		fields["Error"] = err.Error()
--- a/pkg/platform/link/silence.go
+++ b/pkg/platform/link/silence.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"sync"
+	"sync/atomic"
 
 	"github.com/catkinhead/catkinhead/pkg/clock"
 )
@@ -11,6 +12,14 @@
 // that still waits for some, to count as silent.
 const minSilence clock.Millis = 200
 
+// silences counts how often the clients of this process have closed their idle
+// connections since one had gone silent.
+var silences atomic.Int64
+
+// Silences returns how often clients of this process have closed their idle connections
+// since one had gone silent.
+func Silences() int64 { return silences.Load() }
+
 // keptConns are the open connections of a client that keeps idle ones.
 //
 // Connections can go silent together, without a reset, while new ones work. So one
@@ -41,6 +50,7 @@
 // connection went silent.
 func (k *keptConns) wentSilent(since clock.Millis) {
 	if k.hasUnproven(since) {
+		silences.Add(1)
 		k.transport.CloseIdleConnections()
 	}
 }
