modelversion: orders of one pool outlive a look at the next

Cause: each look at a pool forgot the orders in flight to all other pools. The holder of the duties sent 501,573 orders in 40 s and had no time for its heartbeats.

Change: targets are forgotten once for all pools.

--- a/internal/modelversion/modelversion.go
+++ b/internal/modelversion/modelversion.go
@@ -108,6 +108,7 @@
 		s.reset()
 		return
 	}
+	s.forgetGone(v)
 	for _, pool := range slices.Sorted(maps.Keys(v.Table.Pools)) {
 		rule := v.Table.Pools[pool]
 		if len(rule.Models) > 0 {
@@ -117,6 +118,18 @@
 	}
 }
 
+// forgetGone drops the assignments and orders of targets that no pool has any more, and
+// those for a model that the target's pool does not serve.
+func (s *State) forgetGone(v duty.View) {
+	for id, m := range s.Assigned {
+		t := v.Roster.Targets[id]
+		if t == nil || t.Leaving || !slices.Contains(v.Table.Pools[t.Pool].Models, m) {
+			delete(s.Assigned, id)
+			delete(s.orders, id)
+		}
+	}
+}
+
 // reset drops assignments and orders. The next holder of the lease starts from the
 // entries of the targets.
 func (s *State) reset() {
@@ -132,19 +145,11 @@
 		s.orders = make(map[unit.Target]*order)
 	}
 	count := make(map[unit.Model]int)
-	live := make(map[unit.Target]bool)
 	for _, t := range targets {
-		live[t.Target] = true
-		if m, ok := s.Assigned[t.Target]; ok && slices.Contains(models, m) {
+		if m, ok := s.Assigned[t.Target]; ok {
 			count[m]++
 		}
 	}
-	for id := range s.Assigned {
-		if !live[id] {
-			delete(s.Assigned, id)
-			delete(s.orders, id)
-		}
-	}
 	maxShare := (len(targets) + len(models) - 1) / len(models)
 	for _, t := range targets {
 		if _, ok := s.Assigned[t.Target]; ok {
--- a/internal/modelversion/modelversion_test.go
+++ b/internal/modelversion/modelversion_test.go
@@ -222,3 +222,33 @@
 		t.Errorf("ordered %+v", f.loading)
 	}
 }
+
+// TestPoolsOfOneModelAreOrderedOnce guards against a flood of orders, hundreds of
+// thousands in half a minute, which leaves the holder of the duties no time for its jobs:
+// the orders to the targets of one pool were forgotten with each look at the next.
+func TestPoolsOfOneModelAreOrderedOnce(t *testing.T) {
+	f := newFixture(t, 4, "m")
+	pools := map[unit.Pool]platform.PoolRule{"p": {Name: "p", Models: []unit.Model{"m"}}, "q": {Name: "q", Models: []unit.Model{"m"}}}
+	f.view.Table = route.New(platform.Configuration{Pools: pools}, 1)
+	for _, id := range []unit.Target{"q0", "q1"} {
+		f.roster.Upsert(0, platform.TargetEntry{Target: id, Pool: "q", Slots: 4, Models: []platform.ModelState{{Model: "m", Version: 1}}})
+	}
+	f.now = 10_000
+	f.apply(op.VersionWanted{Model: "m", Version: 3})
+	ordered := make(map[unit.Target]int)
+	for range 50 {
+		f.now += 10
+		f.apply(op.Tick{})
+	}
+	for _, o := range f.loading {
+		ordered[o.Target]++
+	}
+	if len(ordered) < 3 {
+		t.Errorf("only %d targets were ordered to load the version", len(ordered))
+	}
+	for id, n := range ordered {
+		if n > 1 {
+			t.Errorf("%s got %d orders while the first was in flight", id, n)
+		}
+	}
+}
