link: no encoding is asked for or decoded

Cause: for callers that state nothing about encodings, the transport asked the target for an encoded body by itself, decoded it, and took the field off before checkReply could see it.

Evidence: TestAnswerThatIsNotValid, row "encoded body", failed before with a caller that asks for none.

Change: the transport asks for none and decodes none, in all clients. The end of a body is recorded without a race between Read and Close.

--- a/internal/edge/wrong_answer_test.go
+++ b/internal/edge/wrong_answer_test.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"bytes"
+	"compress/gzip"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -61,7 +63,9 @@
 	}
 	req.Host = "h.example"
 	req.Header.Set("X-Attempt-Id", "a1")
-	res, err = http.DefaultClient.Do(req)
+	// A caller that does not ask for encoded bodies.
+	client := http.Client{Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true}}
+	res, err = client.Do(req)
 	if err != nil {
 		return &http.Response{Header: http.Header{}}, "", false
 	}
@@ -103,10 +107,21 @@
 	}
 }
 
+// gzipped returns an encoded text.
+func gzipped(text string) string {
+	var b bytes.Buffer
+	w := gzip.NewWriter(&b)
+	// Writes to a buffer do not fail.
+	_, _ = io.WriteString(w, text)
+	_ = w.Close()
+	return b.String()
+}
+
 // TestAnswerThatIsNotValid guards against a caller that gets what is no answer in the
 // protocol (MIXED): a status that does not exist, or fields whose names or values cannot
 // be, which the transport lets pass and takes for others or for none.
 func TestAnswerThatIsNotValid(t *testing.T) {
+	encoded := gzipped("partial")
 	tests := map[string]struct {
 		answer string
 		valid  bool
@@ -128,6 +143,7 @@
 		"control byte in a name":   {"HTTP/1.1 200 OK\r\n" + stampedHead + "ba\x01d: x\r\nContent-Length: 7\r\n\r\npartial", false},
 		"control byte in a value":  {"HTTP/1.1 200 OK\r\n" + stampedHead + "bad: x\x01y\r\nContent-Length: 7\r\n\r\npartial", false},
 		"carriage return":          {"HTTP/1.1 200 OK\r\n" + stampedHead + "bad: x\ry\r\nContent-Length: 7\r\n\r\npartial", false},
+		"encoded body":             {"HTTP/1.1 200 OK\r\n" + stampedHead + "Content-Encoding: gzip\r\nContent-Length: " + fmt.Sprint(len(encoded)) + "\r\n\r\n" + encoded, false},
 		"null byte in a value":     {"HTTP/1.1 200 OK\r\n" + stampedHead + "bad: x\x00y\r\nContent-Length: 7\r\n\r\npartial", false},
 	}
 	for name, tt := range tests {
--- a/pkg/platform/link/transport.go
+++ b/pkg/platform/link/transport.go
@@ -44,11 +44,12 @@
 	return newClient(&http.Transport{MaxIdleConnsPerHost: idle.PerHost, MaxIdleConns: idle.Total, IdleConnTimeout: idle.Timeout}, total)
 }
 
-// newClient returns a client that sends its requests with t. Redirects are answers.
+// newClient returns a client that sends its requests with t. Redirects are answers, and
+// encoded bodies are passed on as they are.
 func newClient(t *http.Transport, total *atomic.Int64) *http.Client {
 	kept := &keptConns{transport: t, open: make(map[*countingConn]struct{})}
 	t.DialContext = kept.dial(total)
-	t.MaxResponseHeaderBytes = maxHeaderBytes
+	t.MaxResponseHeaderBytes, t.DisableCompression = maxHeaderBytes, true
 	return &http.Client{CheckRedirect: noRedirects, Transport: &transport{next: t, kept: kept}}
 }
 
@@ -98,8 +99,9 @@
 	exchange *exchange
 	// unsized is set if only the end of the connection tells where the body ends.
 	unsized bool
-	// ended is set at the end of the body, or at the first error.
-	ended bool
+	// ended is set at the end of the body, at the first error, or when it is closed, which
+	// may happen during a read.
+	ended atomic.Bool
 }
 
 // Read reads a part of the body. Where the body ends with its connection, it returns
@@ -123,11 +125,7 @@
 
 // end records the end of the body.
 func (b *answerBody) end(whole bool) {
-	if b.ended {
-		return
-	}
-	b.ended = true
-	if !whole {
+	if !b.ended.Swap(true) && !whole {
 		b.exchange.abandoned()
 	}
 }
--- a/pkg/platform/link/write_deadline.go
+++ b/pkg/platform/link/write_deadline.go
@@ -58,6 +58,6 @@
 		deadline, _ := ctx.Value(writeDeadlineKey{}).(clock.Millis)
 		return &countingConn{Conn: &deadlineConn{Conn: conn, clock: c, deadline: deadline}}, nil
 	}
-	t := &http.Transport{DialContext: dial, DisableKeepAlives: !keepAlive, MaxResponseHeaderBytes: maxHeaderBytes}
+	t := &http.Transport{DialContext: dial, DisableKeepAlives: !keepAlive, MaxResponseHeaderBytes: maxHeaderBytes, DisableCompression: true}
 	return &http.Client{CheckRedirect: noRedirects, Transport: &transport{next: t}}
 }
