--- a/internal/edge/content.go
+++ b/internal/edge/content.go
@@ -18,7 +18,7 @@
 type contentStore struct {
 	mu   sync.Mutex
 	jobs map[string]*jobContent
-	// textBytes is what the texts take, as of the last measureTexts, with what was added
+	// textBytes is what the texts take, as of the last measure, with what was added
 	// since. maxTextBytes bounds it for texts longer than longText; 0 means no bound.
 	textBytes, maxTextBytes int64
 	// jobBytes is what the jobs take, as of the last measure, without their texts.
