cli: the test of two listeners has a loopback address of its own

Cause: the test closed a port of 127.0.0.1 and listened on it again; other tests that run at the same time take such ports.

--- a/internal/cli/listen_test.go
+++ b/internal/cli/listen_test.go
@@ -1,15 +1,20 @@
 package cli
 
 import (
+	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"testing"
 )
 
 // TestTwoServersOfOneAddressAreAnError guards against an instance that answers its
 // callers with its metrics, since two of its settings name the same address.
 func TestTwoServersOfOneAddressAreAnError(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	// No other process takes a port of this loopback address between the check that it is
+	// free and its use.
+	ip := fmt.Sprintf("127.%d.%d.9", 120+os.Getpid()%100, os.Getpid()/100%200)
+	ln, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	if err != nil {
 		t.Fatal(err)
 	}
