cli: each row of the test of two listeners has an address of its own

The rows shared one address, in an order that changes, and a row began while the server of the one before was still closing its listener: it closes it only once it has begun to serve.

The row without addresses is a test of its own now.

--- a/internal/cli/listen_test.go
+++ b/internal/cli/listen_test.go
@@ -11,30 +11,20 @@
 // TestTwoServersOfOneAddressAreAnError guards against an instance that answers its
 // callers with its metrics, since two of its settings name the same address.
 func TestTwoServersOfOneAddressAreAnError(t *testing.T) {
-	// No other process takes a port of this loopback address between the check that it is
-	// free and its use.
-	ip := fmt.Sprintf("127.%d.%d.9", 120+os.Getpid()%100, os.Getpid()/100%200)
-	ln, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := ln.Addr().String()
-	if err := ln.Close(); err != nil {
-		t.Fatal(err)
-	}
 	tests := map[string]struct {
-		addresses []string
-		fails     bool
+		// servers have the same address.
+		servers int
+		fails   bool
 	}{
-		"one address": {[]string{address}, false},
-		"twice":       {[]string{address, address}, true},
-		"none":        {[]string{"", "", ""}, false},
+		"one": {1, false},
+		"two": {2, true},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
+			address := freeAddress(t)
 			var servers []*http.Server
-			for _, a := range tt.addresses {
-				servers = append(servers, &http.Server{Addr: a})
+			for range tt.servers {
+				servers = append(servers, &http.Server{Addr: address})
 			}
 			ended := make(chan error, len(servers))
 			if err := listenAll(servers, ended); (err != nil) != tt.fails {
@@ -43,6 +33,29 @@
 			for _, s := range servers {
 				_ = s.Close()
 			}
+			<-ended
 		})
 	}
 }
+
+// TestServersWithoutAddressAreLeftOut checks that a setting without an address needs no
+// listener.
+func TestServersWithoutAddressAreLeftOut(t *testing.T) {
+	ended := make(chan error, 2)
+	if err := listenAll([]*http.Server{{}, {}}, ended); err != nil || len(ended) != 2 {
+		t.Errorf("got %v, %d servers have ended", err, len(ended))
+	}
+}
+
+// freeAddress returns a free address. No other process takes a port of this loopback
+// address before it is used.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	ip := fmt.Sprintf("127.%d.%d.9", 120+os.Getpid()%100, os.Getpid()/100%200)
+	ln, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
