listen, edge: a head is bounded by the configuration, its time on every listener

Seen by callers: an instance of 96 MB took 1,026 MB while 250 clients held heads of 900 kB open, and would have been killed, with all requests in flight. Cause: http.Server's own bound of a head is 1 MB, whatever the configuration says, and a head of short fields takes 20 times its length. The listeners for readiness, peers and metrics had no times at all. Change: package listen, a listener (Gate) that knows for each connection whether it waits for its client or for the process. The system keeps less of what is not read. Why it works: what is read of a head is counted before http.Server has it.

--- a/internal/cli/hosted.go
+++ b/internal/cli/hosted.go
@@ -20,6 +20,7 @@
 
 	"github.com/catkinhead/catkinhead/internal/build"
 	"github.com/catkinhead/catkinhead/internal/edge"
+	"github.com/catkinhead/catkinhead/internal/listen"
 	"github.com/catkinhead/catkinhead/internal/logs"
 	"github.com/catkinhead/catkinhead/pkg/clock"
 	base "github.com/catkinhead/catkinhead/pkg/platform"
@@ -32,11 +33,6 @@
 	hostedStoreTimeout = time.Second
 	// hostedOrderTimeout bounds an order to a target and a call to the cloud API.
 	hostedOrderTimeout = time.Second
-	// hostedIdleTimeout closes idle connections of callers. It is longer than
-	// callers keep idle connections open.
-	hostedIdleTimeout = 60 * time.Second
-	// hostedHeaderTimeout bounds the time for reading a request's headers.
-	hostedHeaderTimeout = 5 * time.Second
 	// memoryLimitFraction is the fraction of the instance's memory that is set as
 	// the soft memory limit of the Go runtime.
 	memoryLimitFraction = 0.6
@@ -175,23 +171,24 @@
 // listenHosted opens the listeners when the application starts and shuts them
 // down gracefully when it stops.
 func listenHosted(lc fx.Lifecycle, environment base.Environment, f hostedFlags, p *edge.Process, log *logrus.Logger) {
-	front := &http.Server{Addr: environment.Front, Handler: p, ReadHeaderTimeout: hostedHeaderTimeout, IdleTimeout: hostedIdleTimeout}
-	servers := []*http.Server{
+	limits := edge.NewListenLimits(p.ClientLimits)
+	front := &listener{"callers", environment.Front, limits.Callers, listen.NewServer(p)}
+	servers := []*listener{
 		front,
-		{Addr: environment.Ready, Handler: p.ReadyHandler()},
-		{Addr: net.JoinHostPort(environment.IP, fmt.Sprint(environment.PeerPort)), Handler: p.PeerHandler()},
-		{Addr: f.metrics, Handler: debugHandler(p)},
+		{"readiness", environment.Ready, limits.Probes, listen.NewServer(p.ReadyHandler())},
+		{"peers", net.JoinHostPort(environment.IP, fmt.Sprint(environment.PeerPort)), limits.Peers, listen.NewServer(p.PeerHandler())},
+		{"metrics", f.metrics, limits.Metrics, listen.NewServer(debugHandler(p))},
 	}
 	ended := make(chan error, len(servers))
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			p.Run(context.Background())
-			return listenAll(servers, ended)
+			return listenAll(servers, p.WatchGate, ended)
 		},
 		OnStop: func(ctx context.Context) error {
-			stopHosted(ctx, environment, front, p, log)
+			stopHosted(ctx, environment, front.server, p, log)
 			for _, s := range servers {
-				if err := s.Close(); err != nil {
+				if err := s.server.Close(); err != nil {
 					log.WithField("Error", err.Error()).Warn("cannot close a listener")
 				}
 			}
@@ -206,19 +203,30 @@
 	})
 }
 
-// listenAll opens a listener for each server that has an address, and serves it. The end
-// of each server is sent to ended. Two servers with the same address are an error.
-func listenAll(servers []*http.Server, ended chan<- error) error {
-	for _, s := range servers {
-		if s.Addr == "" {
+// listener is one of the process's listeners: what it is for, its host:port, which may be
+// empty, its limits and its server.
+type listener struct {
+	use     string
+	address string
+	limits  listen.Limits
+	server  *http.Server
+}
+
+// listenAll opens each listener that has an address, and serves it. The end of each server
+// is sent to ended, and watch is called with its gate. Two listeners with the same address
+// are an error.
+func listenAll(listeners []*listener, watch func(use string, g *listen.Gate), ended chan<- error) error {
+	for _, l := range listeners {
+		if l.address == "" {
 			ended <- nil
 			continue
 		}
-		ln, err := net.Listen("tcp", s.Addr)
+		gate, err := listen.Listen(l.address, l.limits)
 		if err != nil {
-			return fmt.Errorf("listen on %s: %w", s.Addr, err)
+			return err
 		}
-		go func() { ended <- s.Serve(ln) }()
+		watch(l.use, gate)
+		go func() { ended <- l.server.Serve(gate) }()
 	}
 	return nil
 }
--- a/internal/cli/listen_test.go
+++ b/internal/cli/listen_test.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"os"
 	"testing"
+
+	"github.com/catkinhead/catkinhead/internal/listen"
 )
 
 // TestTwoServersOfOneAddressAreAnError guards against an instance that answers its
@@ -22,16 +24,16 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			address := freeAddress(t)
-			var servers []*http.Server
+			var listeners []*listener
 			for range tt.servers {
-				servers = append(servers, &http.Server{Addr: address})
+				listeners = append(listeners, &listener{address: address, server: &http.Server{}})
 			}
-			ended := make(chan error, len(servers))
-			if err := listenAll(servers, ended); (err != nil) != tt.fails {
+			ended := make(chan error, len(listeners))
+			if err := listenAll(listeners, ignoreGate, ended); (err != nil) != tt.fails {
 				t.Errorf("got %v", err)
 			}
-			for _, s := range servers {
-				_ = s.Close()
+			for _, l := range listeners {
+				_ = l.server.Close()
 			}
 			<-ended
 		})
@@ -42,11 +44,14 @@
 // listener.
 func TestServersWithoutAddressAreLeftOut(t *testing.T) {
 	ended := make(chan error, 2)
-	if err := listenAll([]*http.Server{{}, {}}, ended); err != nil || len(ended) != 2 {
+	if err := listenAll([]*listener{{}, {}}, ignoreGate, ended); err != nil || len(ended) != 2 {
 		t.Errorf("got %v, %d servers have ended", err, len(ended))
 	}
 }
 
+// ignoreGate watches nothing.
+func ignoreGate(string, *listen.Gate) {}
+
 // freeAddress returns a free address. No other process takes a port of this loopback
 // address before it is used.
 func freeAddress(t *testing.T) string {
--- /dev/null
+++ b/internal/listen/conn.go
@@ -0,0 +1,178 @@
+package listen
+
+import (
+	"bytes"
+	"container/list"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// phase is what a connection waits for.
+type phase int
+
+const (
+	// fresh: for its first request.
+	fresh phase = iota
+	// idle: for a further request.
+	idle
+	// inHead: for the rest of a head.
+	inHead
+	// inBody: for the rest of a body, though a handler may be at work already.
+	inBody
+	// serving: for this process.
+	serving
+	// gone: the connection is closed.
+	gone
+)
+
+const (
+	// headSlack is how many bytes of a body or of the next request may be read together
+	// with a head: the size of the buffer of http.Server.
+	headSlack = 4096
+	// A head takes about headByteCost times its length and headLineCost for each of its
+	// lines, both in bytes.
+	headByteCost = 2
+	headLineCost = 192
+	// refusalTime bounds the time for writing a refusal.
+	refusalTime = 100 * time.Millisecond
+	// maxWrite is the most bytes that are written under one deadline.
+	maxWrite = 64 << 10
+)
+
+var (
+	errLongHead    = errors.New("head of the request is too long")
+	errNoHeadRoom  = errors.New("heads of other requests take the memory for heads")
+	longHeadAnswer = []byte("HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+	noRoomAnswer   = []byte("HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.4\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+)
+
+// conn is a client's connection.
+type conn struct {
+	net.Conn
+	gate *Gate
+	// place is the connection's element in the list of its phase, nil while it is serving
+	// or closed. The gate's lock guards it and the phase.
+	place *list.Element
+	phase phase
+	// since is when the phase began.
+	since time.Time
+	// headBytes counts what was read of the present head. Only the goroutine that reads
+	// uses it. charged is what the head takes of the room for heads.
+	headBytes int
+	charged   atomic.Int64
+	// writeBy is the write deadline that is set. writing guards it.
+	writing sync.Mutex
+	writeBy time.Time
+	closing sync.Once
+	closed  atomic.Bool
+}
+
+// Read reads from the client, and refuses a head that is above the limits. The error is
+// then one of the network, so that http.Server writes nothing more.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n == 0 {
+		return n, err
+	}
+	if refusal, why := c.arrived(b[:n]); refusal != nil {
+		c.refuse(refusal)
+		return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: why}
+	}
+	return n, err
+}
+
+// arrived counts bytes of a head. It returns the answer with which a head is refused, and
+// the reason.
+func (c *conn) arrived(b []byte) ([]byte, error) {
+	limits, head := c.gate.beginHead(c)
+	if !head {
+		return nil, nil
+	}
+	c.headBytes += len(b)
+	if c.headBytes > limits.HeadBytes+headSlack {
+		c.gate.counts.longHeads.Add(1)
+		return longHeadAnswer, errLongHead
+	}
+	cost := int64(headByteCost*len(b) + headLineCost*bytes.Count(b, []byte("\n")))
+	if !c.gate.heads.take(cost) {
+		c.gate.counts.headsWithoutRoom.Add(1)
+		return noRoomAnswer, errNoHeadRoom
+	}
+	c.charged.Add(cost)
+	if c.closed.Load() {
+		c.discharge()
+	}
+	return nil, nil
+}
+
+// discharge gives back what the head takes.
+func (c *conn) discharge() { c.gate.heads.give(c.charged.Swap(0)) }
+
+// SetLinger is that of net.TCPConn.
+func (c *conn) SetLinger(sec int) error {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		return t.SetLinger(sec)
+	}
+	return nil
+}
+
+// refuse answers in place of http.Server. The request has not reached a handler.
+func (c *conn) refuse(answer []byte) {
+	// A client that does not read loses the answer.
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTime))
+	_, _ = c.Conn.Write(answer)
+}
+
+// Write writes to the client. It fails if the client reads nothing for the gate's
+// WriteTime.
+func (c *conn) Write(b []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	written := 0
+	for {
+		c.extendWriteDeadline()
+		part := b[written:min(len(b), written+maxWrite)]
+		n, err := c.Conn.Write(part)
+		written += n
+		if err != nil || written == len(b) {
+			return written, err
+		}
+	}
+}
+
+// extendWriteDeadline sets the deadline if less than WriteTime is left.
+func (c *conn) extendWriteDeadline() {
+	most := c.gate.limits.WriteTime
+	if most <= 0 {
+		return
+	}
+	now := time.Now()
+	if c.writeBy.Sub(now) >= most {
+		return
+	}
+	c.writeBy = now.Add(most + most/4)
+	// It fails if the connection is closed, which the write reports.
+	_ = c.Conn.SetWriteDeadline(c.writeBy)
+}
+
+// SetReadDeadline sets a deadline for reads. The zero time, with which http.Server clears
+// its deadlines, means the one of the present phase.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	if t.IsZero() {
+		t = c.gate.deadline(c)
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// Close closes the connection and gives its place to others.
+func (c *conn) Close() error {
+	c.closing.Do(func() {
+		c.closed.Store(true)
+		c.discharge()
+		c.gate.remove(c)
+	})
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/listen/server.go
@@ -0,0 +1,82 @@
+package listen
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+)
+
+// serverHeadBytes is a bound of http.Server that no head reaches, since the gate's comes
+// first, in bytes.
+const serverHeadBytes = 16 << 20
+
+// connKey is the context key of a request's *conn.
+type connKey struct{}
+
+// NewServer returns a server whose connections must come from a Gate. The gate, and not
+// the server, has the limits of heads and times.
+func NewServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:        track(h),
+		MaxHeaderBytes: serverHeadBytes,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
+		ConnState: connState,
+	}
+}
+
+// connState tells the gate that a connection waits for a request.
+func connState(nc net.Conn, s http.ConnState) {
+	c, ok := nc.(*conn)
+	if !ok || s != http.StateIdle {
+		return
+	}
+	c.discharge()
+	c.headBytes = 0
+	c.gate.enter(c, idle)
+}
+
+// track tells the gate when a request is being served, and when its body is arriving.
+func track(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, ok := r.Context().Value(connKey{}).(*conn)
+		if !ok {
+			h.ServeHTTP(w, r)
+			return
+		}
+		if r.Body == nil || r.Body == http.NoBody {
+			c.enterServing()
+			h.ServeHTTP(w, r)
+			return
+		}
+		c.gate.enter(c, inBody)
+		_ = c.Conn.SetReadDeadline(c.gate.deadline(c))
+		// The server keeps looking at its own request, whose body must stay as it is.
+		r = r.WithContext(r.Context())
+		r.Body = &trackedBody{ReadCloser: r.Body, conn: c}
+		h.ServeHTTP(w, r)
+	})
+}
+
+// enterServing says that the connection waits for this process.
+func (c *conn) enterServing() {
+	c.gate.enter(c, serving)
+	_ = c.SetReadDeadline(c.gate.deadline(c))
+}
+
+// trackedBody tells the gate when a body has arrived.
+type trackedBody struct {
+	io.ReadCloser
+	conn *conn
+}
+
+// Read reads the body.
+func (b *trackedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		b.conn.enterServing()
+	}
+	return n, err
+}
--- a/pkg/platform/hosted.go
+++ b/pkg/platform/hosted.go
@@ -46,7 +46,10 @@
 	Disk string
 	// Memory is the memory limit of the process in bytes.
 	Memory int64
-	Bounds Bounds
+	// Sockets is how many connections and other sockets the process may have open; 0 means
+	// that it is not known.
+	Sockets int
+	Bounds  Bounds
 }
 
 // Bounds are the time and size limits that the operator sets for the deployment.
--- a/pkg/platform/link/answer.go
+++ b/pkg/platform/link/answer.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 
 	"github.com/catkinhead/catkinhead/pkg/platform"
@@ -72,7 +71,7 @@
 	if err != nil {
 		return
 	}
-	if c, ok := conn.(*net.TCPConn); ok {
+	if c, ok := conn.(interface{ SetLinger(sec int) error }); ok {
 		_ = c.SetLinger(0)
 	}
 	_ = conn.Close()
