--- a/internal/cli/hosted.go
+++ b/internal/cli/hosted.go
@@ -171,7 +171,7 @@
 // listenHosted opens the listeners when the application starts and shuts them
 // down gracefully when it stops.
 func listenHosted(lc fx.Lifecycle, environment base.Environment, f hostedFlags, p *edge.Process, log *logrus.Logger) {
-	limits := edge.NewListenLimits(p.ClientLimits)
+	limits := edge.NewListenLimits(environment, p.ClientLimits)
 	front := &listener{"callers", environment.Front, limits.Callers, listen.NewServer(p)}
 	servers := []*listener{
 		front,
--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -5,20 +5,60 @@
 
 	"github.com/catkinhead/catkinhead/internal/listen"
 	"github.com/catkinhead/catkinhead/pkg/clock"
+	"github.com/catkinhead/catkinhead/pkg/platform"
+)
+
+const (
+	// callerConnectionBytes and peerConnectionBytes are what a connection takes at most
+	// without its head and body, in bytes: what the system keeps unread, buffers,
+	// goroutines and, for callers, the connection to a target.
+	callerConnectionBytes = 96 << 10
+	peerConnectionBytes   = 64 << 10
+	// Connections of callers and of peers may take one in so many parts of the process's
+	// memory, each.
+	callerMemoryShare = 8
+	peerMemoryShare   = 8
+	// Callers may take one in callerSocketShare of the process's sockets, peers one in
+	// peerSocketShare. The others are for targets, the store and the cloud service.
+	callerSocketShare = 4
+	peerSocketShare   = 8
+	// probeConnections and metricConnections are the most connections of the load
+	// balancer's probes and of what reads metrics.
+	probeConnections  = 16
+	metricConnections = 8
+	// defaultConnections is the most connections if neither the memory nor the sockets of
+	// the process are known.
+	defaultConnections = 4096
 )
 
 // ListenLimits are the limits of a process's listeners.
 type ListenLimits struct{ Callers, Peers, Probes, Metrics listen.Limits }
 
-// NewListenLimits returns the limits of a process's listeners.
+// NewListenLimits divides the memory and the sockets of a process among its listeners.
 // callers returns what the configuration says of callers.
-func NewListenLimits(callers func() listen.ClientLimits) ListenLimits {
+func NewListenLimits(environment platform.Environment, callers func() listen.ClientLimits) ListenLimits {
 	l := listen.Limits{BodyTime: listen.DefaultBodyTime, Client: listen.Internal}
 	out := ListenLimits{Callers: l, Peers: l, Probes: l, Metrics: l}
 	out.Callers.Client = callers
+	out.Callers.Connections = connectionLimit(environment, callerSocketShare, callerMemoryShare*callerConnectionBytes)
+	out.Peers.Connections = connectionLimit(environment, peerSocketShare, peerMemoryShare*peerConnectionBytes)
+	out.Probes.Connections, out.Metrics.Connections = probeConnections, metricConnections
 	return out
 }
 
+// connectionLimit returns how many connections of a listener may be open, if they may take
+// one in socketShare of the sockets, and each stands for memory bytes of the process.
+func connectionLimit(environment platform.Environment, socketShare int, memory int64) int {
+	n := defaultConnections
+	if environment.Sockets > 0 {
+		n = environment.Sockets / socketShare
+	}
+	if environment.Memory > 0 {
+		n = min(n, int(environment.Memory/memory))
+	}
+	return max(n, 1)
+}
+
 // ClientLimits returns what the configuration in force says of callers.
 func (p *Process) ClientLimits() listen.ClientLimits {
 	var out listen.ClientLimits
