--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -14,10 +14,11 @@
 	// goroutines and, for callers, the connection to a target.
 	callerConnectionBytes = 96 << 10
 	peerConnectionBytes   = 64 << 10
-	// Connections of callers and of peers may take one in so many parts of the process's
-	// memory, each.
+	// Connections of callers, connections of peers and heads of callers may take one in so
+	// many parts of the process's memory, each.
 	callerMemoryShare = 8
 	peerMemoryShare   = 8
+	headMemoryShare   = 16
 	// Callers may take one in callerSocketShare of the process's sockets, peers one in
 	// peerSocketShare. The others are for targets, the store and the cloud service.
 	callerSocketShare = 4
@@ -26,6 +27,9 @@
 	// balancer's probes and of what reads metrics.
 	probeConnections  = 16
 	metricConnections = 8
+	// internalHeads is the room for the heads of peers, probes and what reads metrics, each,
+	// in bytes.
+	internalHeads = 2 << 20
 	// defaultConnections is the most connections if neither the memory nor the sockets of
 	// the process are known.
 	defaultConnections = 4096
@@ -39,10 +43,11 @@
 func NewListenLimits(environment platform.Environment, callers func() listen.ClientLimits) ListenLimits {
 	l := listen.Limits{BodyTime: listen.DefaultBodyTime, Client: listen.Internal}
 	out := ListenLimits{Callers: l, Peers: l, Probes: l, Metrics: l}
-	out.Callers.Client = callers
+	out.Callers.Client, out.Callers.Heads = callers, environment.Memory/headMemoryShare
 	out.Callers.Connections = connectionLimit(environment, callerSocketShare, callerMemoryShare*callerConnectionBytes)
 	out.Peers.Connections = connectionLimit(environment, peerSocketShare, peerMemoryShare*peerConnectionBytes)
 	out.Probes.Connections, out.Metrics.Connections = probeConnections, metricConnections
+	out.Peers.Heads, out.Probes.Heads, out.Metrics.Heads = internalHeads, internalHeads, internalHeads
 	return out
 }
 
