listen: an answer that nobody reads ends, and yields its connection

Cause: a write to a client that reads nothing never ended, so its handler kept the connection, the request's body and its part of the room for bodies for ever. Change: a client that reads nothing of an answer for 15 s loses it; a connection whose write has been blocked for 1 s yields to a new one if all others are being served.

--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -41,7 +41,7 @@
 // NewListenLimits divides the memory and the sockets of a process among its listeners.
 // callers returns what the configuration says of callers.
 func NewListenLimits(environment platform.Environment, callers func() listen.ClientLimits) ListenLimits {
-	l := listen.Limits{BodyTime: listen.DefaultBodyTime, Client: listen.Internal}
+	l := listen.Limits{BodyTime: listen.DefaultBodyTime, WriteTime: listen.DefaultWriteTime, Client: listen.Internal}
 	out := ListenLimits{Callers: l, Peers: l, Probes: l, Metrics: l}
 	out.Callers.Client, out.Callers.Heads = callers, environment.Memory/headMemoryShare
 	out.Callers.Connections = connectionLimit(environment, callerSocketShare, callerMemoryShare*callerConnectionBytes)
--- a/internal/listen/conn.go
+++ b/internal/listen/conn.go
@@ -53,8 +53,8 @@
 type conn struct {
 	net.Conn
 	gate *Gate
-	// place is the connection's element in the list of its phase, nil while it is serving
-	// or closed. The gate's lock guards it and the phase.
+	// place is the connection's element in the list of its phase, nil once it is closed. The
+	// gate's lock guards it and the phase.
 	place *list.Element
 	phase phase
 	// since is when the phase began.
@@ -66,8 +66,10 @@
 	// writeBy is the write deadline that is set. writing guards it.
 	writing sync.Mutex
 	writeBy time.Time
-	closing sync.Once
-	closed  atomic.Bool
+	// writingSince is when the present write began, in Unix nanoseconds, 0 without one.
+	writingSince atomic.Int64
+	closing      sync.Once
+	closed       atomic.Bool
 }
 
 // Read reads from the client, and refuses a head that is above the limits. The error is
@@ -132,10 +134,12 @@
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	written := 0
+	defer c.writingSince.Store(0)
 	for {
-		c.extendWriteDeadline()
-		part := b[written:min(len(b), written+maxWrite)]
-		n, err := c.Conn.Write(part)
+		now := time.Now()
+		c.writingSince.Store(now.UnixNano())
+		c.extendWriteDeadline(now)
+		n, err := c.Conn.Write(b[written:min(len(b), written+maxWrite)])
 		written += n
 		if err != nil || written == len(b) {
 			return written, err
@@ -144,12 +148,11 @@
 }
 
 // extendWriteDeadline sets the deadline if less than WriteTime is left.
-func (c *conn) extendWriteDeadline() {
+func (c *conn) extendWriteDeadline(now time.Time) {
 	most := c.gate.limits.WriteTime
 	if most <= 0 {
 		return
 	}
-	now := time.Now()
 	if c.writeBy.Sub(now) >= most {
 		return
 	}
@@ -158,6 +161,12 @@
 	_ = c.Conn.SetWriteDeadline(c.writeBy)
 }
 
+// writeBlocked reports whether the client has read nothing of an answer for long.
+func (c *conn) writeBlocked(now time.Time) bool {
+	since := c.writingSince.Load()
+	return since != 0 && now.Sub(time.Unix(0, since)) >= slowAfter
+}
+
 // SetReadDeadline sets a deadline for reads. The zero time, with which http.Server clears
 // its deadlines, means the one of the present phase.
 func (c *conn) SetReadDeadline(t time.Time) error {
--- a/internal/listen/gate.go
+++ b/internal/listen/gate.go
@@ -36,9 +36,9 @@
 	mu   sync.Mutex
 	open int
 	// arriving holds the connections that wait for their first request, a head or a body,
-	// idle those that wait for a further request, each in the order in which the phase
-	// began.
-	arriving, idle list.List
+	// idle those that wait for a further request, serving those whose request is being
+	// served, each in the order in which the phase began.
+	arriving, idle, serving list.List
 }
 
 // counts are totals since the start.
@@ -142,8 +142,8 @@
 }
 
 // victim returns the connection that yields: a head or body that takes long, else the one
-// that is idle longest, else the oldest head or body. It is nil if all are being served.
-// The caller holds g.mu.
+// that is idle longest, else the oldest head or body, else one whose client reads nothing
+// of its answer. It is nil if all are being served. The caller holds g.mu.
 func (g *Gate) victim(now time.Time) *conn {
 	arriving := g.arriving.Front()
 	if arriving != nil && now.Sub(arriving.Value.(*conn).since) >= slowAfter {
@@ -155,6 +155,11 @@
 	if arriving != nil {
 		return arriving.Value.(*conn)
 	}
+	for e := g.serving.Front(); e != nil; e = e.Next() {
+		if c := e.Value.(*conn); c.writeBlocked(now) {
+			return c
+		}
+	}
 	return nil
 }
 
@@ -173,25 +178,27 @@
 	}
 	g.unlist(c)
 	c.phase, c.since = p, time.Now()
+	c.place = g.listOf(p).PushBack(c)
+}
+
+// listOf returns the list of a phase, which is not that of a closed connection.
+func (g *Gate) listOf(p phase) *list.List {
 	switch p {
 	case idle:
-		c.place = g.idle.PushBack(c)
-	case fresh, inHead, inBody:
-		c.place = g.arriving.PushBack(c)
+		return &g.idle
+	case serving:
+		return &g.serving
+	default:
+		return &g.arriving
 	}
 }
 
 // unlist takes a connection out of the list of its phase. The caller holds g.mu.
 func (g *Gate) unlist(c *conn) {
-	if c.place == nil {
-		return
-	}
-	if c.phase == idle {
-		g.idle.Remove(c.place)
-	} else {
-		g.arriving.Remove(c.place)
+	if c.place != nil {
+		g.listOf(c.phase).Remove(c.place)
+		c.place = nil
 	}
-	c.place = nil
 }
 
 // remove takes a closed connection out of the gate.
--- a/internal/listen/gate_test.go
+++ b/internal/listen/gate_test.go
@@ -266,6 +266,16 @@
 	s.await("the end of the handler", func() bool { return s.served.Load() > 100 })
 }
 
+// TestUnreadAnswersYield checks that clients who read nothing do not keep others out until
+// their time is up.
+func TestUnreadAnswersYield(t *testing.T) {
+	s := startServer(t, Limits{Connections: 2, WriteTime: time.Hour}, nil)
+	for range 2 {
+		s.dial("GET /long HTTP/1.1\r\nHost: h\r\n\r\n")
+	}
+	s.await("an answer", func() bool { return status(s.dial(request)) == http.StatusOK })
+}
+
 // TestExpectedBody checks that a client that asks first gets the answer before its body.
 func TestExpectedBody(t *testing.T) {
 	s := startServer(t, Limits{}, nil)
--- a/internal/listen/limits.go
+++ b/internal/listen/limits.go
@@ -35,7 +35,7 @@
 	// DefaultBodyTime is the usual value of Limits.BodyTime.
 	DefaultBodyTime = 10 * time.Second
 	// DefaultWriteTime is the usual value of Limits.WriteTime.
-	DefaultWriteTime = 30 * time.Second
+	DefaultWriteTime = 15 * time.Second
 	// InternalHeadBytes is the longest head between instances and of probes, in bytes.
 	InternalHeadBytes = 16 << 10
 )
