budget, edge: room for bodies is taken by what has arrived; slow clients yield it

Seen by callers: one connection that declares 33 MB and sends nothing took the whole room for bodies, and every other upload got 503 (5 of 5, again and again). 250 clients that send bodies without their end took 96 to 171 MB of 96. Cause: the room was taken by the declared length, for a body without one twice the longest allowed; it was given back after 10 s, to the next declaration. Change: package budget. A hold grows with what has arrived (16 KB are free). Without room, the largest hold whose client is slow (under 16 KB in half a second, sending or reading) is closed; who waits goes smallest first, for 1 s; a workspace may take three quarters; one body at a time may be larger than that. A connection that yields in a head or body gets 503 if nobody answered it: package listen sees to it that its request reaches no handler, or that the handler's read fails. A failed try: with evicted handlers left waiting for room for 1 s, 34 MB of stacks; they end with their connection now.

--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -12,7 +12,7 @@
 	// callerConnectionBytes and peerConnectionBytes are what a connection takes at most
 	// without its head and body, in bytes: what the system keeps unread, buffers,
 	// goroutines and, for callers, the connection to a target.
-	callerConnectionBytes = 96 << 10
+	callerConnectionBytes = 80 << 10
 	peerConnectionBytes   = 64 << 10
 	// Connections of callers, connections of peers and heads of callers may take one in so
 	// many parts of the process's memory, each.
@@ -43,7 +43,7 @@
 func NewListenLimits(environment platform.Environment, callers func() listen.ClientLimits) ListenLimits {
 	l := listen.Limits{BodyTime: listen.DefaultBodyTime, WriteTime: listen.DefaultWriteTime, Client: listen.Internal}
 	out := ListenLimits{Callers: l, Peers: l, Probes: l, Metrics: l}
-	out.Callers.Client, out.Callers.Heads = callers, environment.Memory/headMemoryShare
+	out.Callers.Client, out.Callers.Heads, out.Callers.WholeBodies = callers, environment.Memory/headMemoryShare, true
 	out.Callers.Connections = connectionLimit(environment, callerSocketShare, callerMemoryShare*callerConnectionBytes)
 	out.Peers.Connections = connectionLimit(environment, peerSocketShare, peerMemoryShare*peerConnectionBytes)
 	out.Probes.Connections, out.Metrics.Connections = probeConnections, metricConnections
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/semaphore"
 
+	"github.com/catkinhead/catkinhead/internal/budget"
 	"github.com/catkinhead/catkinhead/internal/build"
 	"github.com/catkinhead/catkinhead/internal/op"
 	"github.com/catkinhead/catkinhead/internal/taskgroup"
@@ -63,7 +64,9 @@
 	metrics     *metrics.Set
 	contents    *contentStore
 	transport   *peerTransport
-	bodies      bodyBudget
+	// bodies is the room for bodies of requests, work that for what jobs take beside them
+	// while they are accepted.
+	bodies, work *budget.Budget
 	// loads bounds how many jobs are read from the store for callers at once.
 	loads *semaphore.Weighted
 	// mu guards state. Events are applied one at a time.
@@ -98,7 +101,8 @@
 	self := unit.Incarnation(fmt.Sprintf("%s#%020d", environment.Instance, time.Now().UnixMicro()))
 	p := &Process{
 		environment: environment, deps: deps, clock: c, contents: newContentStore(environment.Memory), relay: relay,
-		bodies:  newBodyBudget(environment.Memory),
+		bodies:  newBodyBudget(environment),
+		work:    budget.New(environment.Memory/workMemoryShare, environment.Memory/workMemoryShare),
 		loads:   newLoads(environment),
 		log:     log.WithFields(logrus.Fields{"Instance": environment.Instance}),
 		state:   NewState(environment, self, c.Now()),
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
+	"github.com/catkinhead/catkinhead/internal/budget"
 	"github.com/catkinhead/catkinhead/internal/op"
 	"github.com/catkinhead/catkinhead/pkg/clock"
 	"github.com/catkinhead/catkinhead/pkg/platform"
@@ -59,6 +60,8 @@
 	headers   platform.RequestHeaders
 	body      []byte
 	startedAt clock.Millis
+	// hold is what the request takes of the room for bodies.
+	hold *budget.Hold
 }
 
 // ServeHTTP handles the requests of callers.
@@ -69,11 +72,11 @@
 		p: p, id: op.CallID(p.nextID.Add(1)), mailbox: make(chan op.Effect, mailboxSize), w: w, r: r,
 		headers: p.deps.Ingress.ParseHeaders(r.Header), startedAt: p.clock.Now(),
 	}
-	release, ok := cr.readBody()
-	if !ok {
+	cr.hold = cr.openHold()
+	defer cr.hold.Close()
+	if !cr.readBody() {
 		return
 	}
-	defer release()
 	p.mailboxes.Store(cr.id, cr.mailbox)
 	defer p.mailboxes.Delete(cr.id)
 	call := p.deps.Ingress.ParseJobCall(r)
@@ -201,11 +204,13 @@
 func (cr *callerRequest) forwardReply(reply *platform.Reply, streaming bool, ended *op.AttemptEnded) error {
 	defer reply.Body.Close()
 	held := cr.heldBytes(reply, streaming)
-	release, ok := cr.p.bodies.tryAcquire(held)
-	if !ok {
-		held, release = min(held, smallBody), func() {}
+	if held > budget.Small {
+		if cr.hold.TryGrow(held) {
+			defer cr.hold.Shrink(held)
+		} else {
+			held = budget.Small
+		}
 	}
-	defer release()
 	body, whole, err := readStart(reply, held)
 	if err != nil {
 		return &platform.Failure{Outcome: unit.Unknown, Crashed: brokeOff(err), Err: err}
@@ -215,7 +220,7 @@
 	}
 	cr.writeHead(reply)
 	ended.Begun = true
-	if _, err := cr.w.Write(body); err != nil || whole {
+	if err := cr.write(body); err != nil || whole {
 		return err
 	}
 	return cr.streamBody(reply.Body)
@@ -272,6 +277,14 @@
 	cr.w.WriteHeader(status)
 }
 
+// write sends a part of the answer's body. The request waits for its caller meanwhile.
+func (cr *callerRequest) write(b []byte) error {
+	cr.hold.Wait()
+	defer cr.hold.Done()
+	_, err := cr.w.Write(b)
+	return err
+}
+
 // streamBody forwards a body as it arrives. The error tells that the body broke
 // off, or that the caller left.
 func (cr *callerRequest) streamBody(body io.Reader) error {
@@ -280,7 +293,7 @@
 	for {
 		n, err := body.Read(buf)
 		if n > 0 {
-			if _, werr := cr.w.Write(buf[:n]); werr != nil {
+			if werr := cr.write(buf[:n]); werr != nil {
 				return werr
 			}
 			if ferr := rc.Flush(); ferr != nil {
--- a/internal/listen/conn.go
+++ b/internal/listen/conn.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"container/list"
+	"context"
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -36,13 +38,17 @@
 	// lines, both in bytes.
 	headByteCost = 2
 	headLineCost = 192
-	// refusalTime bounds the time for writing a refusal.
+	// refusalTime bounds the time for writing a refusal, lingerTime that for which its
+	// reader may still send, lingerBytes how much.
 	refusalTime = 100 * time.Millisecond
+	lingerTime  = 300 * time.Millisecond
+	lingerBytes = 1 << 20
 	// maxWrite is the most bytes that are written under one deadline.
 	maxWrite = 64 << 10
 )
 
 var (
+	errYielded     = errors.New("connection yields to another one")
 	errLongHead    = errors.New("head of the request is too long")
 	errNoHeadRoom  = errors.New("heads of other requests take the memory for heads")
 	longHeadAnswer = []byte("HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
@@ -68,24 +74,41 @@
 	writeBy time.Time
 	// writingSince is when the present write began, in Unix nanoseconds, 0 without one.
 	writingSince atomic.Int64
-	closing      sync.Once
-	closed       atomic.Bool
+	// answered is set once something was written since the last head began. writing guards
+	// it.
+	answered bool
+	closing  sync.Once
+	// left ends, by leaving, when the connection has no place in the gate any more.
+	left    context.Context
+	leaving context.CancelFunc
+	// closed is set once the connection has no place in the gate, yielded if that was for
+	// another one.
+	closed, yielded atomic.Bool
 }
 
 // Read reads from the client, and refuses a head that is above the limits. The error is
 // then one of the network, so that http.Server writes nothing more.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if c.yielded.Load() {
+		return 0, c.readError(errYielded)
+	}
 	if n == 0 {
 		return n, err
 	}
 	if refusal, why := c.arrived(b[:n]); refusal != nil {
 		c.refuse(refusal)
-		return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: why}
+		return 0, c.readError(why)
 	}
 	return n, err
 }
 
+// readError returns an error like those of a connection, to which http.Server answers
+// nothing.
+func (c *conn) readError(why error) error {
+	return &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: why}
+}
+
 // arrived counts bytes of a head. It returns the answer with which a head is refused, and
 // the reason.
 func (c *conn) arrived(b []byte) ([]byte, error) {
@@ -128,12 +151,26 @@
 	_, _ = c.Conn.Write(answer)
 }
 
+// linger reads on for a moment after a refusal: if a connection is closed while its client
+// is still sending, the client may lose the answer.
+func linger(c net.Conn) {
+	if half, ok := c.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
+	}
+	_ = c.SetReadDeadline(time.Now().Add(lingerTime))
+	_, _ = io.CopyN(io.Discard, c, lingerBytes)
+}
+
 // Write writes to the client. It fails if the client reads nothing for the gate's
 // WriteTime.
 func (c *conn) Write(b []byte) (int, error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	written := 0
+	if c.closed.Load() {
+		return 0, net.ErrClosed
+	}
+	c.answered = true
 	defer c.writingSince.Store(0)
 	for {
 		now := time.Now()
@@ -170,18 +207,50 @@
 // SetReadDeadline sets a deadline for reads. The zero time, with which http.Server clears
 // its deadlines, means the one of the present phase.
 func (c *conn) SetReadDeadline(t time.Time) error {
+	if c.yielded.Load() {
+		return nil
+	}
 	if t.IsZero() {
 		t = c.gate.deadline(c)
 	}
 	return c.Conn.SetReadDeadline(t)
 }
 
-// Close closes the connection and gives its place to others.
+// Close closes the connection and gives its place to others. One that yields is closed by
+// the gate.
 func (c *conn) Close() error {
+	c.leave()
+	if c.yielded.Load() {
+		return nil
+	}
+	return c.Conn.Close()
+}
+
+// leave gives the connection's place to others.
+func (c *conn) leave() {
 	c.closing.Do(func() {
 		c.closed.Store(true)
 		c.discharge()
 		c.gate.remove(c)
+		c.leaving()
 	})
-	return c.Conn.Close()
+}
+
+// yield closes the connection, whose phase was p. No handler begins or goes on with its
+// request. If a part of it has arrived and nobody has answered, it is refused.
+func (c *conn) yield(p phase) {
+	c.yielded.Store(true)
+	c.leave()
+	// Whoever reads from the connection is to stop.
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	refuse := p == inHead || p == inBody && c.gate.limits.WholeBodies
+	c.gate.dismiss(c.Conn, refuse && !c.isAnswered())
+}
+
+// isAnswered reports whether something was written since the last head began. Once the
+// connection is closed, nothing more is.
+func (c *conn) isAnswered() bool {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	return c.answered
 }
--- a/internal/listen/gate.go
+++ b/internal/listen/gate.go
@@ -21,6 +21,8 @@
 	// slowAfter is how long a head or a body may take before its connection yields to new
 	// ones ahead of idle connections.
 	slowAfter = time.Second
+	// maxDismissing is the most connections that are being refused at the same time.
+	maxDismissing = 32
 	// acceptPause is the pause after the system could not accept a connection, for want of
 	// descriptors or memory.
 	acceptPause = 20 * time.Millisecond
@@ -32,6 +34,8 @@
 	limits Limits
 	heads  *headRoom
 	counts counts
+	// dismissing counts the connections that are being refused.
+	dismissing atomic.Int64
 
 	mu   sync.Mutex
 	open int
@@ -90,7 +94,7 @@
 	for {
 		accepted, err := g.Listener.Accept()
 		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ENOMEM) || errors.Is(err, syscall.ENOBUFS) {
-			g.evictOne()
+			g.evict()
 			time.Sleep(acceptPause)
 			continue
 		}
@@ -103,42 +107,69 @@
 	}
 }
 
-// admit gives a place to a connection, or closes it and returns nil.
+// admit gives a place to a connection, or refuses it and returns nil.
 func (g *Gate) admit(accepted net.Conn) *conn {
 	c := &conn{Conn: accepted, gate: g, phase: fresh, since: time.Now()}
-	g.mu.Lock()
-	var victim *conn
-	full := g.limits.Connections > 0 && g.open >= g.limits.Connections
-	if full {
-		victim = g.victim(c.since)
-	}
-	if full && victim == nil {
-		g.mu.Unlock()
+	c.left, c.leaving = context.WithCancel(context.Background())
+	if !g.makePlace() {
+		c.leaving()
 		g.counts.refused.Add(1)
-		accepted.Close()
+		g.dismiss(accepted, true)
 		return nil
 	}
+	g.mu.Lock()
 	g.open++
 	g.counts.most.Store(max(g.counts.most.Load(), int64(g.open)))
 	c.place = g.arriving.PushBack(c)
 	g.mu.Unlock()
-	if victim != nil {
-		g.counts.evicted.Add(1)
-		victim.Close()
-	}
 	_ = c.SetReadDeadline(time.Time{})
 	return c
 }
 
-// evictOne closes the connection that has waited longest for its client.
-func (g *Gate) evictOne() {
+// makePlace makes a connection yield if all places are taken. It returns false if none
+// does.
+func (g *Gate) makePlace() bool {
+	g.mu.Lock()
+	full := g.limits.Connections > 0 && g.open >= g.limits.Connections
+	g.mu.Unlock()
+	return !full || g.evict()
+}
+
+// evict makes a connection yield, and reports whether there was one.
+func (g *Gate) evict() bool {
 	g.mu.Lock()
 	victim := g.victim(time.Now())
+	if victim == nil {
+		g.mu.Unlock()
+		return false
+	}
+	was := victim.phase
+	g.take(victim)
 	g.mu.Unlock()
-	if victim != nil {
-		g.counts.evicted.Add(1)
-		victim.Close()
+	g.counts.evicted.Add(1)
+	victim.yield(was)
+	return true
+}
+
+// dismiss closes a connection that has no place. If refuse is set, it answers 503 first,
+// unless many others are being refused.
+func (g *Gate) dismiss(c net.Conn, refuse bool) {
+	if !refuse || g.dismissing.Add(1) > maxDismissing {
+		if refuse {
+			g.dismissing.Add(-1)
+		}
+		c.Close()
+		return
 	}
+	// The goroutine ends within refusalTime and lingerTime.
+	go func() {
+		defer g.dismissing.Add(-1)
+		defer c.Close()
+		_ = c.SetWriteDeadline(time.Now().Add(refusalTime))
+		if _, err := c.Write(noRoomAnswer); err == nil {
+			linger(c)
+		}
+	}()
 }
 
 // victim returns the connection that yields: a head or body that takes long, else the one
@@ -163,15 +194,15 @@
 	return nil
 }
 
-// enter changes the phase of a connection.
-func (g *Gate) enter(c *conn, p phase) {
+// enter changes the phase of a connection. It returns false if the connection is closed.
+func (g *Gate) enter(c *conn, p phase) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.move(c, p)
+	return c.phase != gone
 }
 
-// move is enter for a caller that holds g.mu. A connection that is closed stays out of the
-// lists.
+// move is enter for a caller that holds g.mu.
 func (g *Gate) move(c *conn, p phase) {
 	if c.phase == gone || c.phase == p {
 		return
@@ -204,10 +235,18 @@
 // remove takes a closed connection out of the gate.
 func (g *Gate) remove(c *conn) {
 	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.take(c)
+}
+
+// take is remove for a caller that holds g.mu.
+func (g *Gate) take(c *conn) {
+	if c.phase == gone {
+		return
+	}
 	g.open--
 	g.unlist(c)
 	c.phase = gone
-	g.mu.Unlock()
 }
 
 // beginHead returns the limits of clients and true if a connection is in a head, which
--- a/internal/listen/limits.go
+++ b/internal/listen/limits.go
@@ -12,6 +12,9 @@
 	// BodyTime is how long the body of a request may take, WriteTime how long a client may
 	// read nothing of an answer.
 	BodyTime, WriteTime time.Duration
+	// WholeBodies says that handlers do nothing for a request before they have read its body
+	// to the end. A request whose body has not arrived may then be refused.
+	WholeBodies bool
 	// Client returns the limits that hold for a new head or a new wait. It must be set.
 	Client func() ClientLimits
 }
--- a/internal/listen/server.go
+++ b/internal/listen/server.go
@@ -35,6 +35,9 @@
 	}
 	c.discharge()
 	c.headBytes = 0
+	c.writing.Lock()
+	c.answered = false
+	c.writing.Unlock()
 	c.gate.enter(c, idle)
 }
 
@@ -47,23 +50,34 @@
 			return
 		}
 		if r.Body == nil || r.Body == http.NoBody {
-			c.enterServing()
-			h.ServeHTTP(w, r)
+			if c.enterServing() {
+				h.ServeHTTP(w, r)
+			}
+			return
+		}
+		if !c.gate.enter(c, inBody) {
 			return
 		}
-		c.gate.enter(c, inBody)
 		_ = c.Conn.SetReadDeadline(c.gate.deadline(c))
+		ctx, cancel := context.WithCancel(r.Context())
+		defer cancel()
+		// A handler that waits for something else than the body ends as well.
+		defer context.AfterFunc(c.left, cancel)()
 		// The server keeps looking at its own request, whose body must stay as it is.
-		r = r.WithContext(r.Context())
+		r = r.WithContext(ctx)
 		r.Body = &trackedBody{ReadCloser: r.Body, conn: c}
 		h.ServeHTTP(w, r)
 	})
 }
 
-// enterServing says that the connection waits for this process.
-func (c *conn) enterServing() {
-	c.gate.enter(c, serving)
+// enterServing says that the connection waits for this process. It returns false if the
+// connection is closed: its request may have been refused, and must not run.
+func (c *conn) enterServing() bool {
+	if !c.gate.enter(c, serving) {
+		return false
+	}
 	_ = c.SetReadDeadline(c.gate.deadline(c))
+	return true
 }
 
 // trackedBody tells the gate when a body has arrived.
@@ -75,8 +89,16 @@
 // Read reads the body.
 func (b *trackedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF {
-		b.conn.enterServing()
+	if err == io.EOF && !b.conn.enterServing() {
+		return n, b.conn.readError(errYielded)
 	}
 	return n, err
 }
+
+// CloseConnection ends the connection of a request, whose context it takes. It does nothing
+// if the connection does not come from a Gate.
+func CloseConnection(ctx context.Context) {
+	if c, ok := ctx.Value(connKey{}).(*conn); ok {
+		c.Close()
+	}
+}
