edge: jobs accepted a moment ago count towards the memory for jobs

Suspected of callers: an instance that ends, since 22 jobs of the smallest items at once took 177 MB of 200 (9 accepted), as soon as they no longer waited long for the room to be decoded in. Cause: the memory of jobs was measured every 300 ms, and looked at before the wait for room and not after it. Change: a job counts when its content is put, and the look is repeated. Test: TestAcceptedJobsCountAtOnce, red before.

--- a/internal/edge/accept.go
+++ b/internal/edge/accept.go
@@ -101,6 +101,11 @@
 		hold.Close()
 		return nil, fmt.Errorf("decode job: %w", err)
 	}
+	// Others may have been accepted meanwhile.
+	if cr.p.contents.full() {
+		hold.Close()
+		return nil, fmt.Errorf("%w: open jobs take too much memory by now", budget.ErrNoRoom)
+	}
 	return hold.Close, nil
 }
 
--- a/internal/edge/content.go
+++ b/internal/edge/content.go
@@ -214,6 +214,7 @@
 		return false
 	}
 	c.jobs[id] = j
+	c.jobBytes += j.bytes()
 	return true
 }
 
--- a/internal/edge/content_test.go
+++ b/internal/edge/content_test.go
@@ -233,3 +233,18 @@
 		content.shape()
 	})
 }
+
+// TestAcceptedJobsCountAtOnce guards against jobs that are accepted beyond the memory for
+// jobs, since those accepted a moment ago are not counted yet.
+func TestAcceptedJobsCountAtOnce(t *testing.T) {
+	const memory = 1 << 20
+	c := newContentStore(memory)
+	item := platform.Item{ID: "i", Path: "/", Body: make([]byte, memory/jobMemoryShare+1)}
+	if c.full() {
+		t.Error("full without a job")
+	}
+	c.put("j", newJobContent(jobRecord{}, platform.Job{ID: "j", Items: []platform.Item{item}}))
+	if !c.full() {
+		t.Error("a job that fills the memory for jobs leaves room")
+	}
+}
