forward, edge: a long body without a route or a key is not awaited

Seen by callers: strangers without a key took the room for bodies, from all workspaces together. Cause: the route and the key were looked at when the body had arrived.

--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/catkinhead/catkinhead/internal/budget"
+	"github.com/catkinhead/catkinhead/internal/forward"
 	"github.com/catkinhead/catkinhead/internal/op"
 	"github.com/catkinhead/catkinhead/pkg/clock"
 	"github.com/catkinhead/catkinhead/pkg/platform"
@@ -74,16 +75,42 @@
 	}
 	cr.hold = cr.openHold()
 	defer cr.hold.Close()
-	if !cr.readBody() {
+	call := p.deps.Ingress.ParseJobCall(r)
+	if cr.refuseStranger(call) || !cr.readBody() {
 		return
 	}
 	p.mailboxes.Store(cr.id, cr.mailbox)
 	defer p.mailboxes.Delete(cr.id)
-	call := p.deps.Ingress.ParseJobCall(r)
-	p.apply(op.RequestReceived{Call: cr.id, Host: r.Host, Path: r.URL.Path, Head: cr.headers, Batch: call.Call != platform.NoJobCall, Fingerprint: cr.fingerprint()})
+	received := cr.received(call)
+	received.Fingerprint = cr.fingerprint()
+	p.apply(received)
 	cr.serve(call)
 }
 
+// received returns the event of the request, without what depends on its body.
+func (cr *callerRequest) received(call platform.JobRequest) op.RequestReceived {
+	return op.RequestReceived{
+		Call: cr.id, Host: cr.r.Host, Path: cr.r.URL.Path, Head: cr.headers, Batch: call.Call != platform.NoJobCall,
+	}
+}
+
+// refuseStranger refuses a request without a route or a key before its body is read, unless
+// that is short, and reports whether it has.
+func (cr *callerRequest) refuseStranger(call platform.JobRequest) bool {
+	if n := cr.r.ContentLength; n >= 0 && n <= budget.Small {
+		return false
+	}
+	var refusal op.Respond
+	refused := false
+	cr.p.withState(func(now clock.Millis, s *State) {
+		refusal, refused = forward.Refusal(cr.received(call), s.forwardView(now))
+	})
+	if refused {
+		cr.respond(refusal)
+	}
+	return refused
+}
+
 // fingerprint returns a hash of the request's content and its key.
 func (cr *callerRequest) fingerprint() unit.Fingerprint {
 	h := xxhash.New()
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -95,33 +95,57 @@
 // Calls returns the requests in flight, for dumps.
 func (s *State) Calls() []op.CallID { return slices.Sorted(maps.Keys(s.calls)) }
 
-// handleRequest authenticates a new request, matches it to a rule, and serves it
-// as a call about an existing job, a job submission or a request to be forwarded.
-// A call about an existing job needs no matching rule and no host that has one: jobs
-// outlive their routes, and only the store knows whether there is such a job. But if
-// the call matches a rule that is not for jobs and whose path prefix is not "/", it is
-// forwarded like any other request of that route.
-func (s *State) handleRequest(now clock.Millis, e op.RequestReceived, v View, out *op.List) {
-	refuse := func(status int, why op.Reason, after clock.Millis) {
-		out.Add(op.Respond{
+// admission is what a request is admitted to: a rule, which is empty for a call about an
+// existing job without one, for a workspace.
+type admission struct {
+	rule      platform.RouteRule
+	workspace unit.Workspace
+	// jobCall is set for a call about an existing job.
+	jobCall bool
+}
+
+// admitted authenticates a request and matches it to a rule. If that fails, it returns the
+// refusal and false. A call about an existing job needs no matching rule and no host that
+// has one: jobs outlive their routes, and only the store knows whether there is such a job.
+// But if the call matches a rule that is not for jobs and whose path prefix is not "/", it
+// is like any other request of that route.
+func admitted(e op.RequestReceived, v View) (admission, op.Respond, bool) {
+	refuse := func(status int, why op.Reason, after clock.Millis) (admission, op.Respond, bool) {
+		return admission{}, op.Respond{
 			Call: e.Call, Status: status, Reason: why, Outcome: unit.NotRun, RetryAfter: after, KnownFor: v.Age,
-		})
+		}, false
 	}
 	if v.Table == nil || !v.Fresh {
-		refuse(http.StatusServiceUnavailable, op.NotFresh, retryAfterStale)
-		return
+		return refuse(http.StatusServiceUnavailable, op.NotFresh, retryAfterStale)
 	}
 	rule, ok := v.Table.Match(e.Host, e.Path)
 	jobCall := e.Batch && (!ok || rule.Repeat == platform.Batch || rule.PathPrefix == "/")
 	if !ok && !jobCall {
-		refuse(http.StatusNotFound, op.NoRoute, 0)
-		return
+		return refuse(http.StatusNotFound, op.NoRoute, 0)
 	}
 	workspace, known := v.Table.Workspace(e.Head.Key)
 	if !known && !rule.Public {
-		refuse(http.StatusUnauthorized, op.BadKey, 0)
+		return refuse(http.StatusUnauthorized, op.BadKey, 0)
+	}
+	return admission{rule, workspace, jobCall}, op.Respond{}, true
+}
+
+// Refusal returns the answer to a request that has no route or no key, and whether there is
+// one, as the request would get it when its body has arrived.
+func Refusal(e op.RequestReceived, v View) (op.Respond, bool) {
+	_, refusal, ok := admitted(e, v)
+	return refusal, !ok
+}
+
+// handleRequest serves a new request as a call about an existing job, a job submission or a
+// request to be forwarded, or refuses it.
+func (s *State) handleRequest(now clock.Millis, e op.RequestReceived, v View, out *op.List) {
+	a, refusal, ok := admitted(e, v)
+	if !ok {
+		out.Add(refusal)
 		return
 	}
+	rule, workspace, jobCall := a.rule, a.workspace, a.jobCall
 	limit, expected := timeLimit(e.Head.Left, rule.Timeout), s.expectedDuration(rule.Name)
 	if jobCall || rule.Repeat == platform.Batch {
 		limit, expected = v.Stop.JobTime, v.Stop.JobTime
