edge: pages of results take room, and readers that do not read yield it

Cause: nothing bounded how many pages of results, up to a megabyte each, were encoded and kept for callers who do not read them, or for peers.

--- a/internal/edge/ahead_test.go
+++ b/internal/edge/ahead_test.go
@@ -111,7 +111,7 @@
 	if _, ok := store.chunkAt(0); ok {
 		t.Error("results were listed before the job was stored")
 	}
-	if a, _, _ := p.answerFromMemory("w", platform.JobRequest{Call: platform.ReadResults, Job: testJob}); a.status != 0 {
+	if a, _, _ := p.answerFromMemory("w", platform.JobRequest{Call: platform.ReadResults, Job: testJob}, &pageRoom{hold: p.bodies.Open("", nil)}); a.status != 0 {
 		t.Errorf("a reader was answered with status %d before the job was stored", a.status)
 	}
 	storeBack()
--- a/internal/edge/cut_test.go
+++ b/internal/edge/cut_test.go
@@ -299,7 +299,7 @@
 		if body, err := get(relay.URL + relayPath + "objects/x"); err == nil && body != cutBody {
 			t.Errorf("relayed, %s: %d bytes look complete", name, len(body))
 		}
-		a := p.forwardToOwner(context.Background(), "w", base.JobRequest{Call: base.ReadResults, Job: testJob}, 0)
+		a := p.forwardToOwner(context.Background(), "w", base.JobRequest{Call: base.ReadResults, Job: testJob}, 0, &pageRoom{hold: p.bodies.Open("", nil)})
 		if a.status != 0 && string(a.body) != cutBody {
 			t.Errorf("of the owner, %s: status %d with %d bytes", name, a.status, len(a.body))
 		}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -18,6 +18,8 @@
 	"github.com/gin-gonic/gin"
 	"github.com/sirupsen/logrus"
 
+	"github.com/catkinhead/catkinhead/internal/budget"
+	"github.com/catkinhead/catkinhead/internal/listen"
 	"github.com/catkinhead/catkinhead/internal/op"
 	"github.com/catkinhead/catkinhead/pkg/clock"
 	"github.com/catkinhead/catkinhead/pkg/platform"
@@ -190,7 +192,7 @@
 // forwardToOwner forwards a call about a job to the peer that owns the job.
 // Status 0 means that there is no such peer, or that it gave no answer. That there is
 // no such job is for the store to say, not for what answers at the owner's address.
-func (p *Process) forwardToOwner(ctx context.Context, w unit.Workspace, call platform.JobRequest, wait clock.Millis) jobAnswer {
+func (p *Process) forwardToOwner(ctx context.Context, w unit.Workspace, call platform.JobRequest, wait clock.Millis, room *pageRoom) jobAnswer {
 	var address string
 	p.withState(func(now clock.Millis, s *State) {
 		if peer, ok := s.Heartbeats.Owner(now, call.Job); ok {
@@ -223,6 +225,9 @@
 		return jobAnswer{}
 	}
 	defer res.Body.Close()
+	if !room.take(res.ContentLength) {
+		return jobAnswer{status: http.StatusServiceUnavailable, err: budget.ErrNoRoom}
+	}
 	body, err := link.ReadAnswer(res, maxPeerAnswerBytes)
 	if err != nil {
 		p.log.WithFields(logrus.Fields{"Job": call.Job, "Owner": address, "Error": err.Error()}).Warn("answer of the owner is not complete")
@@ -267,9 +272,17 @@
 	call := platform.JobRequest{
 		Call: platform.JobCall(queryInt("Call")), Job: c.Param("job"), Item: c.Query("Item"), From: queryInt("From"),
 	}
-	a := p.answerLocally(c.Request.Context(), unit.Workspace(c.Query("Workspace")), call, clock.Millis(queryInt("WaitMillis")))
+	w, ctx := unit.Workspace(c.Query("Workspace")), c.Request.Context()
+	hold := p.bodies.Open(w, func() { listen.CloseConnection(ctx) })
+	defer hold.Close()
+	room := &pageRoom{hold: hold}
+	a := p.answerLocally(ctx, w, call, clock.Millis(queryInt("WaitMillis")), room)
+	if errors.Is(a.err, budget.ErrNoRoom) && room.await(ctx) == nil {
+		a = p.answerLocally(ctx, w, call, 0, room)
+	}
 	if a.status == 0 {
 		a.status = http.StatusGone
 	}
+	hold.Wait()
 	c.Data(a.status, "application/octet-stream", a.body)
 }
--- a/internal/edge/results.go
+++ b/internal/edge/results.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/catkinhead/catkinhead/internal/budget"
 	"github.com/catkinhead/catkinhead/internal/op"
 	"github.com/catkinhead/catkinhead/pkg/clock"
 	"github.com/catkinhead/catkinhead/pkg/platform"
@@ -18,6 +19,8 @@
 const (
 	// maxPageBytes bounds the texts in a page of results, in bytes.
 	maxPageBytes = 700 << 10
+	// pageCopies is how many times the length of its texts a page takes at most.
+	pageCopies = 2
 	// endJobTimeout is how long a caller waits until the end of a job is stored.
 	endJobTimeout = 3 * clock.Second
 )
@@ -25,14 +28,10 @@
 // serveJobCall answers a call about a job: from memory if this instance owns
 // the job, else through its owner, else from the store.
 func (cr *callerRequest) serveJobCall(e op.ServeJobCall, call platform.JobRequest) {
-	p := cr.p
-	a := p.answerLocally(cr.r.Context(), e.Workspace, call, cr.headers.Wait)
-	from := "Memory"
-	if a.status == 0 {
-		a, from = p.forwardToOwner(cr.r.Context(), e.Workspace, call, cr.headers.Wait), "Owner"
-	}
-	if a.status == 0 {
-		a, from = p.answerFromStore(cr.r.Context(), e.Workspace, call), "Store"
+	p, room := cr.p, &pageRoom{hold: cr.hold}
+	a, from := p.answerJobCall(cr.r.Context(), e.Workspace, call, cr.headers.Wait, room)
+	if errors.Is(a.err, budget.ErrNoRoom) && room.await(cr.r.Context()) == nil {
+		a, from = p.answerJobCall(cr.r.Context(), e.Workspace, call, cr.headers.Wait, room)
 	}
 	if cr.r.Context().Err() != nil {
 		return
@@ -48,7 +47,7 @@
 	}
 	h.Set("Content-Length", fmt.Sprint(len(a.body)))
 	cr.writeStatus(a.status)
-	if _, err := cr.w.Write(a.body); err != nil {
+	if err := cr.write(a.body); err != nil {
 		cr.log("answer not written", logrus.Fields{"Job": call.Job, "Error": err.Error()})
 	}
 	p.observeDuration("catkinhead_request_seconds", "outcome", "JobRead", cr.startedAt)
@@ -57,14 +56,55 @@
 	}
 }
 
+// answerJobCall answers a call about a job, and says from where.
+func (p *Process) answerJobCall(ctx context.Context, w unit.Workspace, call platform.JobRequest, wait clock.Millis, room *pageRoom) (a jobAnswer, from string) {
+	a, from = p.answerLocally(ctx, w, call, wait, room), "Memory"
+	if a.status == 0 {
+		a, from = p.forwardToOwner(ctx, w, call, wait, room), "Owner"
+	}
+	if a.status == 0 {
+		a, from = p.answerFromStore(ctx, w, call, room), "Store"
+	}
+	return a, from
+}
+
+// pageRoom is the room that the answer to one call about a job takes.
+type pageRoom struct {
+	hold *budget.Hold
+	// taken is what the call has, wanted what it needed at its last try, both in bytes.
+	taken, wanted int64
+}
+
+// take makes room for an answer of n bytes, and reports whether there is room now.
+func (r *pageRoom) take(n int64) bool {
+	r.wanted = n
+	if n <= budget.Small || n <= r.taken {
+		return true
+	}
+	if !r.hold.TryGrow(n - r.taken) {
+		return false
+	}
+	r.taken = n
+	return true
+}
+
+// await waits for the room that was wanted.
+func (r *pageRoom) await(ctx context.Context) error {
+	if err := r.hold.Grow(ctx, r.wanted-r.taken); err != nil {
+		return fmt.Errorf("page of results: %w", err)
+	}
+	r.taken = r.wanted
+	return nil
+}
+
 // answerLocally answers a call about a job from memory, or ends the job if the
 // call asks for that. If the page that the caller asks for is empty, it waits
 // until there is a result or the wait is over. The status is 0 if this instance
 // cannot answer (see answerFromMemory).
-func (p *Process) answerLocally(ctx context.Context, w unit.Workspace, call platform.JobRequest, wait clock.Millis) jobAnswer {
+func (p *Process) answerLocally(ctx context.Context, w unit.Workspace, call platform.JobRequest, wait clock.Millis, room *pageRoom) jobAnswer {
 	until := p.clock.Now() + wait
 	for {
-		a, changed, canWait := p.answerFromMemory(w, call)
+		a, changed, canWait := p.answerFromMemory(w, call, room)
 		if call.Call == platform.EndJob && a.status == http.StatusOK {
 			return p.endOwnedJob(ctx, call.Job)
 		}
@@ -85,12 +125,12 @@
 // this instance's claim is not stored yet. It also returns a channel that is
 // closed at the next change of the job. canWait is set if the answer is an empty
 // page that may still get results.
-func (p *Process) answerFromMemory(w unit.Workspace, call platform.JobRequest) (a jobAnswer, changed <-chan struct{}, canWait bool) {
+func (p *Process) answerFromMemory(w unit.Workspace, call platform.JobRequest, room *pageRoom) (a jobAnswer, changed <-chan struct{}, canWait bool) {
 	p.contents.withJob(call.Job, func(c *jobContent) {
 		if !c.claimed && !c.ended {
 			return
 		}
-		a, changed = p.answerFromContent(c, w, call), c.changed
+		a, changed = p.answerFromContent(c, w, call, room), c.changed
 		canWait = a.status == http.StatusOK && awaitsResults(c, call)
 	})
 	return a, changed, canWait
@@ -103,13 +143,13 @@
 }
 
 // answerFromContent answers a call from a job's content.
-func (p *Process) answerFromContent(c *jobContent, w unit.Workspace, call platform.JobRequest) jobAnswer {
+func (p *Process) answerFromContent(c *jobContent, w unit.Workspace, call platform.JobRequest, room *pageRoom) jobAnswer {
 	if c.record.Workspace != w {
 		return jobAnswer{status: http.StatusNotFound}
 	}
 	switch call.Call {
 	case platform.ReadResults:
-		return p.resultsPage(c, call.From)
+		return p.resultsPage(c, call.From, room)
 	case platform.ReadItem:
 		i, ok := c.index[call.Item]
 		if !ok || c.ended {
@@ -120,15 +160,18 @@
 	return jobAnswer{status: http.StatusOK}
 }
 
-// resultsPage returns the results from a position on, as many as a page may
-// hold.
-func (p *Process) resultsPage(c *jobContent, from int) jobAnswer {
+// resultsPage returns the results from a position on, as many as a page may hold. The error
+// is budget.ErrNoRoom if there is no room for the page now.
+func (p *Process) resultsPage(c *jobContent, from int, room *pageRoom) jobAnswer {
 	from = min(from, len(c.results))
 	end, size := from, 0
 	for end < len(c.results) && (end == from || size+len(c.results[end].Text) <= maxPageBytes) {
 		size += len(c.results[end].Text)
 		end++
 	}
+	if !room.take(int64(size) * pageCopies) {
+		return jobAnswer{status: http.StatusServiceUnavailable, err: budget.ErrNoRoom}
+	}
 	body, err := p.deps.Ingress.Results(len(c.job.Items), from, c.results[from:end])
 	if err != nil {
 		return jobAnswer{status: http.StatusServiceUnavailable, err: err}
@@ -156,7 +199,7 @@
 
 // answerFromStore answers a call from the store. Only an owner can end a job,
 // so for that this instance takes the job over.
-func (p *Process) answerFromStore(ctx context.Context, w unit.Workspace, call platform.JobRequest) jobAnswer {
+func (p *Process) answerFromStore(ctx context.Context, w unit.Workspace, call platform.JobRequest, room *pageRoom) jobAnswer {
 	if call.Call == platform.EndJob {
 		return p.endStoredJob(ctx, w, call)
 	}
@@ -172,7 +215,7 @@
 		return jobAnswer{status: http.StatusServiceUnavailable, err: err}
 	}
 	p.apply(op.StoredJobFound{Job: call.Job})
-	return p.answerFromContent(c, w, call)
+	return p.answerFromContent(c, w, call, room)
 }
 
 // endStoredJob takes a job over from the store and ends it.
--- a/internal/edge/store_test.go
+++ b/internal/edge/store_test.go
@@ -162,7 +162,7 @@
 	p.contents.put("j", c)
 	answers := make(chan jobAnswer, 1)
 	go func() {
-		answers <- p.answerLocally(context.Background(), "w", platform.JobRequest{Call: platform.ReadResults, Job: "j"}, 5000)
+		answers <- p.answerLocally(context.Background(), "w", platform.JobRequest{Call: platform.ReadResults, Job: "j"}, 5000, &pageRoom{hold: p.bodies.Open("", nil)})
 	}()
 	time.Sleep(20 * time.Millisecond)
 	p.contents.withJob("j", func(c *jobContent) {
