edge: calls of peers and the answers to them take a bounded part of memory

Cause: nothing bounded the copies of the store's objects and of kept texts that are encoded for peers; with a large configuration each takes about a megabyte. Change: they have a room of their own, a sixteenth of the memory, which a slow reader yields. Without room a peer gets 503 and asks the store itself.

--- a/internal/edge/body.go
+++ b/internal/edge/body.go
@@ -27,6 +27,8 @@
 	// they are decoded and stored.
 	bodyMemoryShare = 8
 	workMemoryShare = 6
+	// peerCallMemoryShare is that of the calls of peers and the answers to them.
+	peerCallMemoryShare = 16
 	// ownerPercent is the part of the room for bodies that one workspace may take, in
 	// percent.
 	ownerPercent = 75
--- a/internal/edge/mirror.go
+++ b/internal/edge/mirror.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/catkinhead/catkinhead/internal/budget"
 	"github.com/catkinhead/catkinhead/pkg/clock"
 	"github.com/catkinhead/catkinhead/pkg/platform"
 	"github.com/catkinhead/catkinhead/pkg/unit"
@@ -174,10 +175,35 @@
 	case err != nil:
 		w.WriteHeader(http.StatusServiceUnavailable)
 	default:
-		w.Header().Set("Content-Type", "application/json")
-		if err := json.NewEncoder(w).Encode(a); err != nil {
-			p.log.WithField("Error", err.Error()).Debug("mirror answer not written")
-		}
+		p.writeMirror(w, r, a)
+	}
+}
+
+// bytes returns about what the answer takes when it is encoded.
+func (a mirrorAnswer) bytes() int64 {
+	n := 0
+	for _, o := range a.Objects {
+		n += len(o.Key) + len(o.Value)
+	}
+	for _, c := range a.Changes {
+		n += len(c.Object.Key) + len(c.Object.Value)
+	}
+	// Values are encoded as base64.
+	return int64(n) * 3 / 2
+}
+
+// writeMirror sends an answer, if there is room for it.
+func (p *Process) writeMirror(w http.ResponseWriter, r *http.Request, a mirrorAnswer) {
+	hold := p.openPeerHold(r.Context())
+	defer hold.Close()
+	if n := a.bytes(); n > budget.Small && hold.Grow(r.Context(), n) != nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	hold.Wait()
+	if err := json.NewEncoder(w).Encode(a); err != nil {
+		p.log.WithField("Error", err.Error()).Debug("mirror answer not written")
 	}
 }
 
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -259,6 +259,11 @@
 	return mux
 }
 
+// openPeerHold returns the hold of a peer's call on the room for such calls.
+func (p *Process) openPeerHold(ctx context.Context) *budget.Hold {
+	return p.peerCalls.Open("", func() { listen.CloseConnection(ctx) })
+}
+
 // servePeerJob answers a call about a job that a peer forwarded, with 410 if
 // this instance has no answer.
 func (p *Process) servePeerJob(c *gin.Context) {
@@ -273,7 +278,7 @@
 		Call: platform.JobCall(queryInt("Call")), Job: c.Param("job"), Item: c.Query("Item"), From: queryInt("From"),
 	}
 	w, ctx := unit.Workspace(c.Query("Workspace")), c.Request.Context()
-	hold := p.bodies.Open(w, func() { listen.CloseConnection(ctx) })
+	hold := p.openPeerHold(ctx)
 	defer hold.Close()
 	room := &pageRoom{hold: hold}
 	a := p.answerLocally(ctx, w, call, clock.Millis(queryInt("WaitMillis")), room)
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -64,9 +64,10 @@
 	metrics     *metrics.Set
 	contents    *contentStore
 	transport   *peerTransport
-	// bodies is the room for bodies of requests, work that for what jobs take beside them
-	// while they are accepted.
-	bodies, work *budget.Budget
+	// bodies is the room for bodies of requests and pages of results, work that for what
+	// jobs take beside their bodies while they are accepted, peerCalls that for calls of
+	// peers and the answers to them.
+	bodies, work, peerCalls *budget.Budget
 	// loads bounds how many jobs are read from the store for callers at once.
 	loads *semaphore.Weighted
 	// mu guards state. Events are applied one at a time.
@@ -101,12 +102,13 @@
 	self := unit.Incarnation(fmt.Sprintf("%s#%020d", environment.Instance, time.Now().UnixMicro()))
 	p := &Process{
 		environment: environment, deps: deps, clock: c, contents: newContentStore(environment.Memory), relay: relay,
-		bodies:  newBodyBudget(environment),
-		work:    budget.New(environment.Memory/workMemoryShare, environment.Memory/workMemoryShare),
-		loads:   newLoads(environment),
-		log:     log.WithFields(logrus.Fields{"Instance": environment.Instance}),
-		state:   NewState(environment, self, c.Now()),
-		mirrors: map[string]*mirror{deps.Kinds.Configuration: newMirror(), deps.Kinds.Targets: newMirror()},
+		bodies:    newBodyBudget(environment),
+		peerCalls: budget.New(environment.Memory/peerCallMemoryShare, environment.Memory/peerCallMemoryShare),
+		work:      budget.New(environment.Memory/workMemoryShare, environment.Memory/workMemoryShare),
+		loads:     newLoads(environment),
+		log:       log.WithFields(logrus.Fields{"Instance": environment.Instance}),
+		state:     NewState(environment, self, c.Now()),
+		mirrors:   map[string]*mirror{deps.Kinds.Configuration: newMirror(), deps.Kinds.Targets: newMirror()},
 	}
 	var err error
 	if p.transport, err = newPeerTransport(environment); err != nil {
--- a/internal/edge/reuse.go
+++ b/internal/edge/reuse.go
@@ -16,6 +16,7 @@
 	"github.com/gin-gonic/gin"
 	"github.com/sirupsen/logrus"
 
+	"github.com/catkinhead/catkinhead/internal/budget"
 	"github.com/catkinhead/catkinhead/internal/heartbeat"
 	"github.com/catkinhead/catkinhead/internal/op"
 	"github.com/catkinhead/catkinhead/pkg/clock"
@@ -250,10 +251,22 @@
 // servePeerKeptTexts answers a peer that has accepted a later job of a series
 // with this instance's texts of an earlier one.
 func (p *Process) servePeerKeptTexts(c *gin.Context) {
+	hold := p.openPeerHold(c.Request.Context())
+	defer hold.Close()
+	body, err := hold.ReadBody(c.Request.Context(), c.Request.Body, c.Request.ContentLength, maxReuseBytes)
 	var request keptRequest
-	if err := json.NewDecoder(io.LimitReader(c.Request.Body, maxReuseBytes)).Decode(&request); err != nil {
+	if err == nil {
+		err = json.Unmarshal(body, &request)
+	}
+	if err != nil {
 		c.Status(http.StatusBadRequest)
 		return
 	}
-	c.JSON(http.StatusOK, p.localKeptTexts(c.Param("job"), request))
+	answer, err := json.Marshal(p.localKeptTexts(c.Param("job"), request))
+	if err != nil || len(answer) > budget.Small && !hold.TryGrow(int64(len(answer))) {
+		c.Status(http.StatusServiceUnavailable)
+		return
+	}
+	hold.Wait()
+	c.Data(http.StatusOK, "application/json", answer)
 }
--- a/internal/edge/store_test.go
+++ b/internal/edge/store_test.go
@@ -92,7 +92,7 @@
 	log.SetOutput(io.Discard)
 	return &Process{
 		deps: Dependencies{Store: store}, clock: clock.System{}, log: logrus.NewEntry(log), contents: newContentStore(0),
-		loads: newLoads(platform.Environment{}), bodies: budget.New(0, 0), work: budget.New(0, 0),
+		loads: newLoads(platform.Environment{}), bodies: budget.New(0, 0), work: budget.New(0, 0), peerCalls: budget.New(0, 0),
 		state: NewState(platform.Environment{Instance: "a"}, "a#1", 0),
 	}
 }
