logs: buffered lines take at most 2 MB

Cause: 2,048 lines may be buffered, and callers choose the length of fields that are logged (X-Attempt-Id, paths): 32 MB with heads of 16 KB while the output is slow. Change: the buffer is bounded in bytes, too; lines beyond are dropped and counted as before. Usual lines have 400 bytes, so 2,048 of them fit. Test: TestLongLinesAreBounded, red before (1,000 lines of 16 KB kept).

--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -12,15 +12,22 @@
 	"github.com/sirupsen/logrus"
 )
 
-// bufferLines is the number of lines buffered, a few seconds of the log of a
-// busy instance.
-const bufferLines = 2048
+const (
+	// bufferLines is the number of lines buffered, a few seconds of the log of a
+	// busy instance.
+	bufferLines = 2048
+	// bufferBytes bounds the lines that are buffered, in bytes: callers choose the length
+	// of some fields.
+	bufferBytes = 2 << 20
+)
 
 // AsyncWriter is an io.Writer that buffers lines for a goroutine to write.
 type AsyncWriter struct {
 	lines   chan []byte
 	out     io.Writer
 	dropped atomic.Int64
+	// buffered is the length of the lines in the channel, in bytes.
+	buffered atomic.Int64
 	ended   chan error
 }
 
@@ -35,15 +42,34 @@
 // Write buffers a copy of a line, or drops the line if the buffer is full. It
 // never returns an error.
 func (w *AsyncWriter) Write(b []byte) (int, error) {
-	line := append([]byte(nil), b...)
+	n := int64(len(b))
+	if w.buffered.Add(n) > bufferBytes {
+		w.drop(n)
+		return len(b), nil
+	}
 	select {
-	case w.lines <- line:
+	case w.lines <- append([]byte(nil), b...):
 	default:
-		w.dropped.Add(1)
+		w.drop(n)
 	}
 	return len(b), nil
 }
 
+// drop counts a line of n bytes that is not buffered.
+func (w *AsyncWriter) drop(n int64) {
+	w.buffered.Add(-n)
+	w.dropped.Add(1)
+}
+
+// write writes a line that was buffered.
+func (w *AsyncWriter) write(line []byte) error {
+	w.buffered.Add(-int64(len(line)))
+	if _, err := w.out.Write(line); err != nil {
+		return fmt.Errorf("write log: %w", err)
+	}
+	return nil
+}
+
 // Dropped returns the number of dropped lines.
 func (w *AsyncWriter) Dropped() int64 { return w.dropped.Load() }
 
@@ -57,8 +83,8 @@
 	for {
 		select {
 		case line := <-w.lines:
-			if _, err := w.out.Write(line); err != nil {
-				return fmt.Errorf("write log: %w", err)
+			if err := w.write(line); err != nil {
+				return err
 			}
 		case <-ctx.Done():
 			return w.flush()
@@ -71,8 +97,8 @@
 	for {
 		select {
 		case line := <-w.lines:
-			if _, err := w.out.Write(line); err != nil {
-				return fmt.Errorf("write log: %w", err)
+			if err := w.write(line); err != nil {
+				return err
 			}
 		default:
 			return nil
--- a/internal/logs/logs_test.go
+++ b/internal/logs/logs_test.go
@@ -59,3 +59,29 @@
 		t.Errorf("got %v", line)
 	}
 }
+
+// TestLongLinesAreBounded guards against a buffer that takes the memory of the process,
+// since callers choose the length of some fields.
+func TestLongLinesAreBounded(t *testing.T) {
+	out := &blockedWriter{unblock: make(chan struct{})}
+	ctx, cancel := context.WithCancel(context.Background())
+	s := NewAsyncWriter(ctx, out)
+	line := bytes.Repeat([]byte("x"), 16<<10)
+	const lines = 1000
+	for range lines {
+		if _, err := s.Write(line); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if kept := (lines - s.Dropped()) * int64(len(line)); kept > bufferBytes+int64(len(line)) {
+		t.Errorf("%d bytes are buffered", kept)
+	}
+	close(out.unblock)
+	cancel()
+	if err := s.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	if s.buffered.Load() != 0 {
+		t.Errorf("%d bytes count as buffered in the end", s.buffered.Load())
+	}
+}
