--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -28,7 +28,7 @@
 	dropped atomic.Int64
 	// buffered is the length of the lines in the channel, in bytes.
 	buffered atomic.Int64
-	ended   chan error
+	ended    chan error
 }
 
 // NewAsyncWriter returns a writer that writes to out until ctx ends, and then
