edge: who ends a stored job waits like who reads one

Cause (by reading): a call that ends a job without an owner read the whole job from the store, and did not wait for those that read others, so many at once were in memory together. Change: both go through loadForCaller. No test of its own: the tests of readers and of ended jobs pass.

--- a/internal/edge/results.go
+++ b/internal/edge/results.go
@@ -203,11 +203,8 @@
 	if call.Call == platform.EndJob {
 		return p.endStoredJob(ctx, w, call)
 	}
-	if err := p.loads.Acquire(ctx, 1); err != nil {
-		return jobAnswer{status: http.StatusServiceUnavailable, err: fmt.Errorf("wait to read job: %w", err)}
-	}
-	defer p.loads.Release(1)
-	c, _, err := p.loadJob(ctx, call.Job)
+	c, release, err := p.loadForCaller(ctx, call.Job)
+	defer release()
 	if errors.Is(err, platform.ErrNotFound) {
 		return jobAnswer{status: http.StatusNotFound}
 	}
@@ -218,15 +215,29 @@
 	return p.answerFromContent(c, w, call, room)
 }
 
+// loadForCaller is loadJob for a caller. Callers wait, so that not too many jobs are in
+// memory at once; release must be called when the content is not needed any more.
+func (p *Process) loadForCaller(ctx context.Context, job string) (c *jobContent, release func(), err error) {
+	if err := p.loads.Acquire(ctx, 1); err != nil {
+		return nil, func() {}, fmt.Errorf("wait to read job: %w", err)
+	}
+	c, _, err = p.loadJob(ctx, job)
+	return c, func() { p.loads.Release(1) }, err
+}
+
 // endStoredJob takes a job over from the store and ends it.
 func (p *Process) endStoredJob(ctx context.Context, w unit.Workspace, call platform.JobRequest) jobAnswer {
-	c, _, err := p.loadJob(ctx, call.Job)
+	c, release, err := p.loadForCaller(ctx, call.Job)
+	missing := errors.Is(err, platform.ErrNotFound) || err == nil && c.record.Workspace != w
+	ended := err == nil && c.ended
+	// The takeover reads the job again.
+	release()
 	switch {
-	case errors.Is(err, platform.ErrNotFound) || err == nil && c.record.Workspace != w:
+	case missing:
 		return jobAnswer{status: http.StatusNotFound}
 	case err != nil:
 		return jobAnswer{status: http.StatusServiceUnavailable, err: err}
-	case c.ended:
+	case ended:
 		return jobAnswer{status: http.StatusOK}
 	}
 	var epoch unit.Epoch
