cli: few dumps, profiles and metrics at the same time

Cause: each request for /dump encodes the whole state under the state's lock, and each profile takes as much as it likes; nothing bounded how many at once, up to the eight connections of the listener. Change: one dump or profile and two requests for metrics at a time; others get 503 with Retry-After. Test: TestAtMost. Rows of TestCrowd at the metrics' listener held before on the small state of the test; so this is by reading.

--- a/internal/cli/hosted.go
+++ b/internal/cli/hosted.go
@@ -252,13 +252,22 @@
 	}
 }
 
+const (
+	// metricsAtOnce and dumpsAtOnce are how many requests for metrics, and for state dumps
+	// and profiles, are served at the same time.
+	metricsAtOnce = 2
+	dumpsAtOnce   = 1
+)
+
 // debugHandler serves the metrics, the state dump and the profiles.
 func debugHandler(p *edge.Process) http.Handler {
+	large := http.NewServeMux()
+	large.HandleFunc("/dump", p.WriteDump)
+	large.HandleFunc("/debug/pprof/", pprof.Index)
+	large.HandleFunc("/debug/pprof/profile", pprof.Profile)
 	mux := http.NewServeMux()
-	mux.HandleFunc("/metrics", p.WriteMetrics)
-	mux.HandleFunc("/dump", p.WriteDump)
-	mux.HandleFunc("/debug/pprof/", pprof.Index)
-	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	mux.Handle("/metrics", listen.AtMost(metricsAtOnce, http.HandlerFunc(p.WriteMetrics)))
+	mux.Handle("/", listen.AtMost(dumpsAtOnce, large))
 	return mux
 }
 
--- a/internal/listen/gate_test.go
+++ b/internal/listen/gate_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -316,3 +317,34 @@
 	}
 	<-ended
 }
+
+// TestAtMost checks that requests beyond the number are refused, and later ones served.
+func TestAtMost(t *testing.T) {
+	release, began := make(chan struct{}), make(chan struct{}, 2)
+	h := AtMost(2, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		began <- struct{}{}
+		<-release
+	}))
+	get := func() int {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/", nil))
+		return w.Code
+	}
+	ended := make(chan int, 2)
+	for range 2 {
+		go func() { ended <- get() }()
+		<-began
+	}
+	if got := get(); got != http.StatusServiceUnavailable {
+		t.Errorf("third: got %d", got)
+	}
+	close(release)
+	for range 2 {
+		if got := <-ended; got != http.StatusOK {
+			t.Errorf("got %d", got)
+		}
+	}
+	if got := get(); got != http.StatusOK {
+		t.Errorf("later: got %d", got)
+	}
+}
--- a/internal/listen/server.go
+++ b/internal/listen/server.go
@@ -102,3 +102,19 @@
 		c.Close()
 	}
 }
+
+// AtMost serves n requests at the same time, and answers others 503.
+func AtMost(n int, h http.Handler) http.Handler {
+	slots := make(chan struct{}, n)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case slots <- struct{}{}:
+		default:
+			w.Header().Set("Retry-After", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		defer func() { <-slots }()
+		h.ServeHTTP(w, r)
+	})
+}
