heartbeat: what comes under unregistered names is bounded; missing jobs are forgotten

Change: heartbeats of names that are not registered in the store take 2 MB at most, and add jobs up to 10,000; a job that the store does not have is forgotten unless a live peer owns it; 32 takeovers begin in a tick (50 ms) at most. Limits: 2 MB are over 1,000 usual heartbeats of instances that started within the last minute; a fleet has some hundred jobs in status_s. Open: a datagram in the name of a registered instance is believed.

--- a/internal/edge/jobs.go
+++ b/internal/edge/jobs.go
@@ -83,6 +83,9 @@
 // results are complete needs one only if e.Force is set.
 func (p *Process) takeOverJob(ctx context.Context, e op.TakeOverJob) {
 	c, chunks, err := p.loadJob(ctx, e.Job)
+	if errors.Is(err, platform.ErrNotFound) {
+		p.apply(op.JobMissing{Job: e.Job})
+	}
 	if err != nil {
 		p.log.WithFields(logrus.Fields{"Job": e.Job, "From": e.From, "Error": err.Error()}).Warn("job not taken over")
 		return
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -196,6 +196,8 @@
 		s.Batch.Advance(now, s.batchView(), out)
 	case op.JobClosed:
 		s.Heartbeats.MarkClosed(e.Job)
+	case op.JobMissing:
+		s.Heartbeats.ForgetMissing(now, e.Job)
 	case op.StoredJobFound:
 		s.storedJobFound(now, e.Job)
 	case op.JobsListed:
--- a/internal/heartbeat/heartbeat.go
+++ b/internal/heartbeat/heartbeat.go
@@ -30,6 +30,13 @@
 	// store on behalf of the others.
 	minWatchers         = 2
 	instancesPerWatcher = 24
+	// Heartbeats under names that are not registered may take maxUnlistedCost bytes, and
+	// add jobs up to maxUnlistedJobs in all. heartbeatCost and entryCost are about what a
+	// heartbeat, and an entry in it, take, in bytes.
+	maxUnlistedCost = 2 << 20
+	maxUnlistedJobs = 10_000
+	heartbeatCost   = 512
+	entryCost       = 64
 )
 
 // watchSubject is the subject that ranks instances for watching the store.
@@ -42,6 +49,10 @@
 	HeardAt clock.Millis
 	// WallOffset is how far the peer's clock is ahead of this instance's.
 	WallOffset clock.Millis
+	// Listed is set if the instance is registered in the store.
+	Listed bool
+	// cost is about what the heartbeat takes, in bytes.
+	cost int
 }
 
 // timeout returns after how long without a heartbeat the peer is considered dead.
@@ -59,6 +70,8 @@
 	series map[unit.Series][]string
 	// jobCount counts all jobs that were ever added.
 	jobCount int64
+	// unlistedCost is what the heartbeats of peers take that are not registered.
+	unlistedCost int
 	// startedAt is the time of the first tick; startedSet is set from then on.
 	startedAt  clock.Millis
 	startedSet bool
@@ -120,14 +133,36 @@
 		}
 		if p := s.Peers[id]; p != nil {
 			p.Address = address
+			s.markListed(p)
 			continue
 		}
-		s.setPeer(&Peer{Heartbeat: op.Heartbeat{Instance: id, Address: address}, HeardAt: -minPeerTimeout})
+		s.setPeer(&Peer{Heartbeat: op.Heartbeat{Instance: id, Address: address}, HeardAt: -minPeerTimeout, Listed: true})
 		added = true
 	}
 	return added
 }
 
+// markListed notes that a peer is registered.
+func (s *State) markListed(p *Peer) {
+	if !p.Listed {
+		p.Listed = true
+		s.unlistedCost -= p.cost
+	}
+}
+
+// admits reports whether there is room for a heartbeat that takes cost bytes. Datagrams
+// may come from anywhere, so those under names that are not registered are bounded. A new
+// instance is registered before it is heard, but its peers may learn of that later.
+func (s *State) admits(old *Peer, cost int) bool {
+	if old != nil && old.Listed {
+		return true
+	}
+	if old != nil {
+		cost -= old.cost
+	}
+	return s.unlistedCost+cost <= maxUnlistedCost
+}
+
 // RanksFirst reports whether this instance ranks first among itself and the live
 // peers that are not draining. The subject is what the ranking is for, such as
 // the ID of a job. Instances with the same view of the fleet agree on which one
@@ -202,7 +237,7 @@
 
 // ApplyHeartbeat applies a heartbeat that was received now, which is the Unix time
 // wall by the local clock. It ignores a heartbeat that is not newer than the last
-// one of the same incarnation. It returns the jobs that this instance owned but the
+// one of the same incarnation, or for which there is no room. It returns the jobs that this instance owned but the
 // peer owns under a higher epoch; ownedEpoch returns the epoch under which this
 // instance owns a job, and false if it does not own it.
 func (s *State) ApplyHeartbeat(now, wall clock.Millis, h op.Heartbeat, ownedEpoch func(job string) (unit.Epoch, bool)) []string {
@@ -210,7 +245,23 @@
 	if old != nil && old.Incarnation == h.Incarnation && h.Seq <= old.Seq {
 		return nil
 	}
-	s.setPeer(&Peer{Heartbeat: h, HeardAt: now, WallOffset: h.Wall - wall})
+	cost := costOf(h)
+	if !s.admits(old, cost) {
+		return nil
+	}
+	p := &Peer{Heartbeat: h, HeardAt: now, WallOffset: h.Wall - wall, cost: cost}
+	switch {
+	case old == nil:
+		s.unlistedCost += cost
+	case old.Listed:
+		p.Listed = true
+	default:
+		s.unlistedCost += cost - old.cost
+	}
+	s.setPeer(p)
+	if !p.Listed && len(s.jobs)+len(h.Jobs)+len(h.Orphans) > maxUnlistedJobs {
+		return nil
+	}
 	var lost []string
 	for _, j := range h.Jobs {
 		if epoch, owned := ownedEpoch(j.ID); owned {
@@ -231,6 +282,20 @@
 	return lost
 }
 
+// costOf returns about what a heartbeat takes, in bytes.
+func costOf(h op.Heartbeat) int {
+	n := heartbeatCost
+	for _, j := range h.Jobs {
+		n += entryCost + len(j.ID)
+	}
+	for _, ids := range [][]string{h.Ahead, h.Orphans} {
+		for _, id := range ids {
+			n += entryCost + len(id)
+		}
+	}
+	return n + entryCost*(len(h.Counts)+len(h.Crashes)+len(h.Demands)+len(h.Running)+len(h.Slow))
+}
+
 // listsSameJobs reports whether a newer heartbeat comes from the same process and
 // lists the same jobs, so that none of them has lost its owner.
 func (p *Peer) listsSameJobs(h op.Heartbeat) bool {
--- a/internal/heartbeat/heartbeat_test.go
+++ b/internal/heartbeat/heartbeat_test.go
@@ -238,3 +238,50 @@
 		t.Errorf("got %v, want only the job of this instance since the other owner is dead", got)
 	}
 }
+
+// TestUnlistedPeersAreBounded guards against datagrams under ever new names, which anybody
+// may send: they may not take memory without end, and registered peers are still heard.
+func TestUnlistedPeersAreBounded(t *testing.T) {
+	s := &State{Self: "self"}
+	s.AddPeers(map[unit.Instance]string{"listed": "127.0.0.1:1"})
+	for n := range 20_000 {
+		h := op.Heartbeat{Instance: unit.Instance(fmt.Sprint("forged-", n)), Incarnation: "x#1", Seq: 1}
+		for i := range 100 {
+			h.Jobs = append(h.Jobs, op.JobStatus{ID: fmt.Sprint(n, "-", i), Epoch: 1})
+		}
+		s.ApplyHeartbeat(0, 0, h, ownedJobs(nil))
+	}
+	if s.unlistedCost > maxUnlistedCost || len(s.Peers) > maxUnlistedCost/heartbeatCost || len(s.jobs) > maxUnlistedJobs {
+		t.Errorf("%d peers, %d jobs, %d bytes", len(s.Peers), len(s.jobs), s.unlistedCost)
+	}
+	s.ApplyHeartbeat(0, 0, op.Heartbeat{Instance: "listed", Incarnation: "l#1", Seq: 1, Jobs: []op.JobStatus{{ID: "j", Epoch: 1}}}, ownedJobs(nil))
+	if !s.Live(0, "listed") || !s.Known("j") {
+		t.Error("a registered peer is not heard any more")
+	}
+	addresses := make(map[unit.Instance]string)
+	for id := range s.Peers {
+		addresses[id] = "127.0.0.1:2"
+	}
+	s.AddPeers(addresses)
+	if s.unlistedCost != 0 {
+		t.Errorf("%d bytes of peers that are registered count as unlisted", s.unlistedCost)
+	}
+}
+
+// TestMissingJobsAreForgotten guards against a job that no instance has and that every
+// instance asks the store for, again and again.
+func TestMissingJobsAreForgotten(t *testing.T) {
+	s := &State{Self: "self"}
+	s.AddPeers(map[unit.Instance]string{"p": "127.0.0.1:1"})
+	s.ApplyHeartbeat(0, 0, op.Heartbeat{Instance: "p", Incarnation: "p#1", Seq: 1, Jobs: []op.JobStatus{{ID: "owned", Epoch: 1, Series: 3}}}, ownedJobs(nil))
+	s.UpdateJob(op.JobStatus{ID: "orphan", Series: 3}, "")
+	s.ForgetMissing(0, "owned")
+	s.ForgetMissing(0, "orphan")
+	if !s.Known("owned") || s.Known("orphan") || len(s.SeriesJobs(3)) != 1 {
+		t.Errorf("owned: %t, orphan: %t, series: %v", s.Known("owned"), s.Known("orphan"), s.SeriesJobs(3))
+	}
+	s.ForgetMissing(1_000_000, "owned")
+	if s.Known("owned") {
+		t.Error("a missing job of a dead peer is not forgotten")
+	}
+}
--- a/internal/heartbeat/jobs.go
+++ b/internal/heartbeat/jobs.go
@@ -23,6 +23,8 @@
 	// uptimeMargin is how much longer than this instance a peer must have been
 	// running to know all jobs that existed before this instance started.
 	uptimeMargin clock.Millis = 2 * clock.Second
+	// maxTakeovers is the most takeovers that begin in one tick.
+	maxTakeovers = 32
 )
 
 // jobState is what this instance knows about a job of the fleet.
@@ -199,16 +201,34 @@
 		take = append(take, id)
 	}
 	slices.Sort(take)
+	started := 0
 	for _, id := range take {
+		if started == maxTakeovers {
+			return
+		}
 		if !s.RanksFirst(now, id) {
 			continue
 		}
+		started++
 		k := s.jobs[id]
 		k.nextTakeover = now + retryDelay
 		out.Add(op.TakeOverJob{Job: id, Epoch: k.epoch, From: k.owner})
 	}
 }
 
+// ForgetMissing removes a job that has no live owner and that the store does not have. A
+// later heartbeat may add it again.
+func (s *State) ForgetMissing(now clock.Millis, id string) {
+	k := s.jobs[id]
+	if k == nil || k.owner == s.Self || s.Live(now, k.owner) {
+		return
+	}
+	delete(s.jobs, id)
+	if k.series != 0 {
+		s.series[k.series] = slices.DeleteFunc(s.series[k.series], func(other string) bool { return other == id })
+	}
+}
+
 // listJobs lists the jobs in the store once after the start of this instance,
 // unless a peer has been running for long enough to know them. Only the instance
 // that ranks first does so; the others learn of the jobs from its heartbeats.
--- a/internal/op/edge_event.go
+++ b/internal/op/edge_event.go
@@ -170,6 +170,9 @@
 // are all listed, so that it needs no owner.
 type JobClosed struct{ Job string }
 
+// JobMissing means that TakeOverJob found no such job in the store.
+type JobMissing struct{ Job string }
+
 // StoredJobFound means that this instance has read or written a job in the
 // store without becoming its owner. The job may have none.
 type StoredJobFound struct{ Job string }
@@ -205,4 +208,5 @@
 func (JobsListed) event()           {}
 func (StoredJobFound) event()       {}
 func (JobClosed) event()            {}
+func (JobMissing) event()           {}
 func (EventTimes) event()           {}
