edge: what callers name in jobs cannot make heartbeats too long

Cause (by reading): a heartbeat has 60 KB; it lists the jobs, whose ids callers choose (up to the length of a head), and the models that items name (thousands in one job). A caller with a key could make one so long that its peers take the instance for dead and take its jobs over, with the same result. Change: names of jobs and models have 128 bytes at most (400 otherwise), an instance accepts up to 300 jobs, closed ones are forgotten before that, and what still would be too long is left out: orphans beyond 32, models beyond 16, counts (which are sent again). Tests: TestHeartbeatFitsWhateverJobsName, TestNamesOfJobsAreBounded and TestManyJobsAreTooMany, red before (no such bounds).

--- a/internal/edge/accept.go
+++ b/internal/edge/accept.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
@@ -12,6 +13,7 @@
 	"github.com/catkinhead/catkinhead/internal/budget"
 	"github.com/catkinhead/catkinhead/internal/op"
 	"github.com/catkinhead/catkinhead/pkg/clock"
+	"github.com/catkinhead/catkinhead/pkg/platform"
 	"github.com/catkinhead/catkinhead/pkg/unit"
 )
 
@@ -26,6 +28,10 @@
 	directOwnTimeout clock.Millis = 500
 	// acceptRetryPause is the pause between attempts to store a job.
 	acceptRetryPause = 150 * time.Millisecond
+	// maxNameBytes is the longest name of a job or a model, in bytes.
+	maxNameBytes = 128
+	// maxOwnedJobs is the most jobs of an instance, since each stands in its heartbeats.
+	maxOwnedJobs = 300
 	// jobRetryAfter is the Retry-After hint if a submission or a call about a job
 	// fails.
 	jobRetryAfter clock.Millis = 400
@@ -42,8 +48,11 @@
 	}
 	defer release()
 	job, err := cr.p.deps.Ingress.Job(string(cr.headers.Attempt), cr.body)
-	if err != nil || job.ID == "" || strings.Contains(job.ID, "/") {
-		cr.log("submitted job could not be decoded", logrus.Fields{"Error": fmt.Sprint(err)})
+	if err == nil {
+		err = checkNames(job)
+	}
+	if err != nil {
+		cr.log("submitted job could not be decoded", logrus.Fields{"Error": err.Error()})
 		cr.respond(op.Respond{Status: http.StatusBadRequest, Reason: op.BadJob, Outcome: unit.NotRun})
 		return
 	}
@@ -88,6 +97,22 @@
 	}
 }
 
+// errBadName means that a job's name or that of a model cannot be used.
+var errBadName = errors.New("name is empty, too long or has a slash")
+
+// checkNames returns an error unless a job's names fit into heartbeats.
+func checkNames(j platform.Job) error {
+	if j.ID == "" || len(j.ID) > maxNameBytes || strings.Contains(j.ID, "/") {
+		return fmt.Errorf("job %.40q: %w", j.ID, errBadName)
+	}
+	for _, it := range j.Items {
+		if len(it.Model) > maxNameBytes {
+			return fmt.Errorf("model %.40q: %w", it.Model, errBadName)
+		}
+	}
+	return nil
+}
+
 // roomForJob waits for room for what a job takes beside its body while it is decoded and
 // stored, and returns a function that gives it back.
 func (cr *callerRequest) roomForJob() (release func(), err error) {
--- a/internal/edge/content.go
+++ b/internal/edge/content.go
@@ -118,12 +118,12 @@
 	return nil
 }
 
-// full reports whether the jobs took all the room that they may take when they were
-// last measured.
+// full reports whether the jobs take all the room that they may take, in memory or in
+// heartbeats.
 func (c *contentStore) full() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.maxJobBytes > 0 && c.jobBytes > c.maxJobBytes
+	return c.maxJobBytes > 0 && c.jobBytes > c.maxJobBytes || len(c.jobs) >= maxOwnedJobs
 }
 
 // measure measures what the jobs and their texts take. It returns the closed jobs that
@@ -145,7 +145,7 @@
 	})
 	left := c.jobBytes
 	for _, id := range closed {
-		if c.maxJobBytes == 0 || left <= c.maxJobBytes/2 || len(surplus) == 0 && left <= c.maxJobBytes {
+		if !c.crowded(left, len(surplus)) {
 			break
 		}
 		left -= c.jobs[id].bytes()
@@ -154,6 +154,17 @@
 	return surplus
 }
 
+// crowded reports whether more closed jobs are to be forgotten, if those left take some
+// bytes and some are to be forgotten already: once the jobs are above a bound, until they
+// take half of it.
+func (c *contentStore) crowded(left int64, forgotten int) bool {
+	bytes, jobs := c.maxJobBytes, maxOwnedJobs-1
+	if forgotten > 0 {
+		bytes, jobs = bytes/2, jobs/2
+	}
+	return c.maxJobBytes > 0 && left > bytes || len(c.jobs)-forgotten > jobs
+}
+
 // closed reports whether no more results will be listed.
 func (j *jobContent) closed() bool { return j.ended || len(j.results) == len(j.job.Items) }
 
--- a/internal/edge/heartbeat_test.go
+++ b/internal/edge/heartbeat_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
@@ -183,3 +184,85 @@
 		t.Errorf("counts of %d of %d sources were sent", len(sent), sources)
 	}
 }
+
+// TestHeartbeatFitsWhateverJobsName guards against an instance that its peers take for
+// dead, since a caller's job names so many models, or so many jobs have no owner, that its
+// heartbeats are too long.
+func TestHeartbeatFitsWhateverJobsName(t *testing.T) {
+	long := func(n int) string { return fmt.Sprintf("%0*d", maxNameBytes, n) }
+	var demands []op.Demand
+	var orphans []string
+	var jobs []op.JobStatus
+	for n := range 3000 {
+		demands = append(demands, op.Demand{Model: unit.Model(long(n)), Open: n})
+		orphans = append(orphans, long(n))
+	}
+	for n := range maxOwnedJobs {
+		jobs = append(jobs, op.JobStatus{ID: long(n), Epoch: 1 << 40, Series: 1 << 63})
+	}
+	tests := map[string]struct {
+		heartbeat op.Heartbeat
+		leavesOut bool
+	}{
+		"usual":   {op.Heartbeat{Instance: "a", Jobs: jobs[:10], Orphans: orphans[:10], Demands: demands[:4]}, false},
+		"demands": {op.Heartbeat{Instance: "a", Demands: demands}, true},
+		"orphans": {op.Heartbeat{Instance: "a", Orphans: orphans}, true},
+		"jobs":    {op.Heartbeat{Instance: "a", Jobs: jobs}, false},
+		"all":     {op.Heartbeat{Instance: "a", Jobs: jobs, Orphans: orphans, Demands: demands}, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b, left, err := encodeHeartbeat(tt.heartbeat)
+			if err != nil || len(b) > maxHeartbeatBytes || (left != "") != tt.leavesOut {
+				t.Fatalf("%d bytes, left out: %q, %v", len(b), left, err)
+			}
+			var h op.Heartbeat
+			if err := cbor.Unmarshal(b, &h); err != nil || len(h.Jobs) != len(tt.heartbeat.Jobs) {
+				t.Errorf("%d of %d jobs, %v", len(h.Jobs), len(tt.heartbeat.Jobs), err)
+			}
+		})
+	}
+}
+
+// TestNamesOfJobsAreBounded checks which names are refused.
+func TestNamesOfJobsAreBounded(t *testing.T) {
+	tests := map[string]struct {
+		job, model string
+		fails      bool
+	}{
+		"usual":      {"7c41e09b52d6a3f8", "m", false},
+		"longest":    {strings.Repeat("j", maxNameBytes), strings.Repeat("m", maxNameBytes), false},
+		"long job":   {strings.Repeat("j", maxNameBytes+1), "m", true},
+		"long model": {"j", strings.Repeat("m", maxNameBytes+1), true},
+		"empty":      {"", "m", true},
+		"slash":      {"a/b", "m", true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			err := checkNames(platform.Job{ID: tt.job, Items: []platform.Item{{Model: unit.Model(tt.model)}}})
+			if (err != nil) != tt.fails {
+				t.Errorf("got %v", err)
+			}
+		})
+	}
+}
+
+// TestManyJobsAreTooMany guards against more jobs of an instance than its heartbeats can
+// name: closed ones are forgotten, and beyond the bound none is accepted.
+func TestManyJobsAreTooMany(t *testing.T) {
+	c := newContentStore(0)
+	for n := range maxOwnedJobs {
+		if c.full() {
+			t.Fatalf("full with %d jobs", n)
+		}
+		j := newTestContent()
+		j.ended = n%2 == 0
+		c.put(fmt.Sprint(n), j)
+	}
+	if !c.full() {
+		t.Error("not full")
+	}
+	if got := len(c.measure()); got != maxOwnedJobs/2 {
+		t.Errorf("%d jobs are to be forgotten", got)
+	}
+}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -10,6 +11,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -60,13 +62,13 @@
 
 // sendHeartbeats sends a heartbeat to a list of addresses.
 func (p *Process) sendHeartbeats(e op.SendHeartbeats) {
-	b, err := cbor.Marshal(e.Heartbeat)
+	b, left, err := encodeHeartbeat(e.Heartbeat)
 	if err != nil {
 		p.log.WithField("Error", err.Error()).Error("heartbeat not encoded")
 		return
 	}
-	if len(b) > maxHeartbeatBytes {
-		p.log.WithField("Bytes", len(b)).Error("heartbeat is too long to be received")
+	if left != "" {
+		p.log.WithFields(logrus.Fields{"Bytes": len(b), "LeftOut": left}).Error("heartbeat has no room for all that there is to tell")
 	}
 	for _, address := range e.Addresses {
 		to, err := netip.ParseAddrPort(address)
@@ -79,6 +81,41 @@
 	}
 }
 
+const (
+	// A heartbeat that would be too long names longOrphans jobs without an owner and the
+	// demands of longDemands models at most.
+	longOrphans = 32
+	longDemands = 16
+)
+
+// encodeHeartbeat encodes a heartbeat. What would make it too long to be received is left
+// out, and named: peers would take this instance for dead.
+func encodeHeartbeat(h op.Heartbeat) (b []byte, left string, err error) {
+	shorten := []struct {
+		name string
+		do   func()
+	}{
+		{"", func() {}},
+		{"Orphans", func() { h.Orphans = h.Orphans[:min(len(h.Orphans), longOrphans)] }},
+		{"Orphans, Demands", func() { h.Demands = largestDemands(h.Demands) }},
+		{"Orphans, Demands, Counts, Crashes", func() { h.Counts, h.Crashes = nil, nil }},
+	}
+	for _, s := range shorten {
+		s.do()
+		b, err = cbor.Marshal(h)
+		if err != nil || len(b) <= maxHeartbeatBytes {
+			return b, s.name, err
+		}
+	}
+	return b, "too long all the same", nil
+}
+
+// largestDemands returns the demands of those models that have the most open items.
+func largestDemands(ds []op.Demand) []op.Demand {
+	out := slices.SortedFunc(slices.Values(ds), func(a, b op.Demand) int { return cmp.Compare(b.Open, a.Open) })
+	return out[:min(len(out), longDemands)]
+}
+
 // receiveHeartbeats applies incoming heartbeats until the socket is closed.
 func (p *Process) receiveHeartbeats(ctx context.Context) {
 	buf := make([]byte, maxHeartbeatBytes)
