serve: heads, connections and their times are bounded

Seen by callers: catkinhead serve took 1,199 to 1,691 MB of 128 while 250 clients held heads, and 266 descriptors of 200 for silent ones. Cause: as in catkinhead edge: nothing but http.Server's bound of a head. Change: its listener is a Gate.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -36,6 +36,8 @@
 			s.String(&set.Data, "", "data", "directory that keeps the last configuration across restarts, if there is a disk")
 			s.String(&set.Record, "r", "record", "file to record a trace of all events to, for replay")
 			s.String(&set.Policy, "", "policy", "how requests are admitted: fair, or a baseline: round-robin, least-loaded, first-come")
+			s.Int64(&set.MemoryMB, "", "memory-mb", "memory of the process in MB, which bounds what clients can make it hold; 0: no bound")
+			s.Int(&set.Descriptors, "", "descriptors", "descriptors that the process may have open; 0: the system's limit")
 			s.String(&set.LogLevel, "", "log-level", "debug, info, warning or error")
 			s.Duration(&set.OrderPause, "", "order-pause", "for tests: pause between deciding on an order and sending it")
 		},
--- a/internal/serve/module.go
+++ b/internal/serve/module.go
@@ -4,13 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 
+	"github.com/catkinhead/catkinhead/internal/listen"
 	"github.com/catkinhead/catkinhead/internal/setting"
 	"github.com/catkinhead/catkinhead/pkg/clock"
 	"github.com/catkinhead/catkinhead/pkg/platform/wire"
@@ -69,13 +69,13 @@
 // serveHTTP starts the HTTP server when the application starts and drains the
 // process when the application stops.
 func serveHTTP(lc fx.Lifecycle, set setting.Settings, p *Process) {
-	srv := &http.Server{Handler: p.Handler(), ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute}
+	srv := listen.NewServer(p.Handler())
 	ended := make(chan error, 1)
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			ln, err := net.Listen("tcp", set.Listen)
+			ln, err := listen.Listen(set.Listen, listenLimits(set))
 			if err != nil {
-				return fmt.Errorf("listen on --listen %s: %w", set.Listen, err)
+				return fmt.Errorf("--listen: %w", err)
 			}
 			p.Run(context.Background())
 			go func() { ended <- srv.Serve(ln) }()
--- a/internal/setting/setting.go
+++ b/internal/setting/setting.go
@@ -61,6 +61,12 @@
 	// Policy is the name of the admission policy in admit.Policies: "fair" for
 	// production, or a baseline to compare it with.
 	Policy string `env:"POLICY" envDefault:"fair"`
+	// MemoryMB is the memory of the process in megabytes, of which connections, heads and
+	// bodies of requests may each take a part. 0 means that they are not bounded.
+	MemoryMB int64 `env:"MEMORY_MB" envDefault:"2048"`
+	// Descriptors is how many descriptors the process may have open, of which clients'
+	// connections may take a part. 0 means the limit of the system.
+	Descriptors int `env:"DESCRIPTORS"`
 	// LogLevel is debug, info, warning or error.
 	LogLevel string `env:"LOG_LEVEL" envDefault:"info"`
 	// OrderPause delays each order between its decision and its sending. Tests
@@ -71,6 +77,12 @@
 // Prefix is the start of the name of every environment variable.
 const Prefix = "CATKINHEAD_"
 
+const (
+	// minMemoryMB and minDescriptors are the least that a process needs.
+	minMemoryMB    = 64
+	minDescriptors = 64
+)
+
 // Faults lists the invalid settings, one message each.
 type Faults []string
 
@@ -142,6 +154,12 @@
 			add(name, d.v.String(), fmt.Sprintf("%v to %v is allowed", d.low, d.high))
 		}
 	}
+	if s.MemoryMB != 0 && s.MemoryMB < minMemoryMB {
+		add("memory-mb", fmt.Sprint(s.MemoryMB), fmt.Sprintf("0 or %d and more is allowed", minMemoryMB))
+	}
+	if s.Descriptors != 0 && s.Descriptors < minDescriptors {
+		add("descriptors", fmt.Sprint(s.Descriptors), fmt.Sprintf("0 or %d and more is allowed", minDescriptors))
+	}
 	if _, ok := admit.Policies[s.Policy]; !ok {
 		add("policy", s.Policy, "one of "+strings.Join(slices.Sorted(maps.Keys(admit.Policies)), ", ")+" is allowed")
 	}
