serve: bodies of calls take a bounded part of memory, and strangers' long ones are not read

Seen by callers: 250 clients without a key that send a call's body in chunks took 20 GB of 128 MB and the process answered nobody for 20 s; held bodies took 10 GB. Cause: each body could be 256 MB, nothing bounded how many at once, and the key was looked at when the call was decoded. Change: a body is read before its handler runs, within a room of a quarter of the memory (package budget), three times its length for Twirp calls. A long body without a valid key gets its refusal at once. One body may be an eighth of the memory: 256 MB, as before, with the default of 2,048 MB. Refusals say NotRun. Two requests for metrics at a time.

--- a/internal/serve/completion.go
+++ b/internal/serve/completion.go
@@ -105,8 +105,7 @@
 
 // serveCompletion answers a completion request in one of the formats.
 func (p *Process) serveCompletion(c *gin.Context, f apiFormat) {
-	p.withKey(c)
-	r, err := decodeChat(http.MaxBytesReader(c.Writer, c.Request.Body, maxCallBody))
+	r, err := decodeChat(c.Request.Body)
 	if err != nil {
 		writeError(c, http.StatusBadRequest, "BadRequest", unit.NotRun, err.Error())
 		return
--- a/internal/serve/http.go
+++ b/internal/serve/http.go
@@ -11,6 +11,7 @@
 	"github.com/gin-gonic/gin"
 
 	"github.com/catkinhead/catkinhead/internal/decide"
+	"github.com/catkinhead/catkinhead/internal/listen"
 	"github.com/catkinhead/catkinhead/internal/op"
 	"github.com/catkinhead/catkinhead/pkg/clock"
 	"github.com/catkinhead/catkinhead/pkg/rpc"
@@ -31,29 +32,30 @@
 	gin.SetMode(gin.ReleaseMode)
 	g := gin.New()
 	g.Use(gin.CustomRecoveryWithWriter(nil, p.handlePanic), p.endConnection)
-	g.POST("/v1/chat/completions", p.serveChatCompletion)
-	g.POST("/v1/completions", p.serveTextCompletion)
+	call := p.readBody(bodyRule{limit: p.maxBody(maxCallBody), copies: 1, keyed: true, refuse: refuseCall})
+	g.POST("/v1/chat/completions", p.withKey, call, p.serveChatCompletion)
+	g.POST("/v1/completions", p.withKey, call, p.serveTextCompletion)
 	g.GET("/v1/models", p.models)
-	g.POST("/v1/routes/:route/*path", p.servePlain)
+	g.POST("/v1/routes/:route/*path", p.withKey, call, p.servePlain)
 	g.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "alive\n") })
 	g.GET("/readyz", p.readyz)
-	g.GET("/metrics", func(c *gin.Context) { p.metrics.WritePrometheus(c.Writer) })
+	metrics := listen.AtMost(metricsAtOnce, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { p.metrics.WritePrometheus(w) }))
+	g.GET("/metrics", gin.WrapH(metrics))
 	g.GET("/dump", p.operatorOnly, p.serveDump)
-	p.mountRPC(g, rpc.NewRolloutServer(rolloutServer{p}), p.withKey)
-	p.mountRPC(g, rpc.NewOperatorServer(operatorServer{p}), p.operatorOnly)
-	p.mountRPC(g, rpc.NewPeerServer(peerServer{p}), p.peerOnly)
+	p.mountRPC(g, rpc.NewRolloutServer(rolloutServer{p}), p.withKey, true)
+	p.mountRPC(g, rpc.NewOperatorServer(operatorServer{p}), p.operatorOnly, false)
+	p.mountRPC(g, rpc.NewPeerServer(peerServer{p}), p.peerOnly, false)
 	g.NoRoute(func(c *gin.Context) { writeError(c, http.StatusNotFound, "NotFound", unit.NotRun, "no such path") })
 	return g
 }
 
 // mountRPC serves a Twirp service. check runs before each call. operatorOnly and
 // peerOnly abort a call without the right secret; withKey only stores the hash of
-// the caller's key, which the methods of the service then check.
-func (p *Process) mountRPC(g *gin.Engine, s rpc.TwirpServer, check gin.HandlerFunc) {
-	g.POST(s.PathPrefix()+"*method", check, func(c *gin.Context) {
-		c.Request.Body = http.MaxBytesReader(c.Writer, c.Request.Body, maxRPCBody)
-		s.ServeHTTP(c.Writer, c.Request)
-	})
+// the caller's key, which the methods of the service then check, and before a long body is
+// read if keyed is set.
+func (p *Process) mountRPC(g *gin.Engine, s rpc.TwirpServer, check gin.HandlerFunc, keyed bool) {
+	body := p.readBody(bodyRule{limit: p.maxBody(maxRPCBody), copies: rpcCopies, keyed: keyed, refuse: refuseRPC})
+	g.POST(s.PathPrefix()+"*method", check, body, gin.WrapH(s))
 }
 
 // endConnection makes an answer end its connection during the graceful shutdown.
--- a/internal/serve/plain.go
+++ b/internal/serve/plain.go
@@ -42,8 +42,7 @@
 // forwarded to the incarnation that issued the ticket and runs there at most
 // once.
 func (p *Process) servePlain(c *gin.Context) {
-	p.withKey(c)
-	body, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, maxCallBody))
+	body, err := io.ReadAll(c.Request.Body)
 	if err != nil {
 		writeError(c, http.StatusRequestEntityTooLarge, "BadRequest", unit.NotRun, "the body was cut or is above 4 MiB")
 		return
--- a/internal/serve/process.go
+++ b/internal/serve/process.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/catkinhead/catkinhead/internal/admit"
+	"github.com/catkinhead/catkinhead/internal/budget"
 	"github.com/catkinhead/catkinhead/internal/decide"
 	"github.com/catkinhead/catkinhead/internal/op"
 	"github.com/catkinhead/catkinhead/internal/setting"
@@ -51,19 +52,21 @@
 type Process struct {
 	set setting.Settings
 	// self describes this incarnation to its peers.
-	self        op.MemberInfo
-	deps        Dependencies
-	engines     engineClient
-	services    platform.Service
-	clock       clock.Clock
-	log         *logrus.Entry
-	loop        *Loop
-	tasks       *taskgroup.Group
-	calls       *callRegistry
-	steps       *stepContents
-	tickets     *ticket.Registry
-	peers       *peerClients
-	metrics     *metrics.Set
+	self     op.MemberInfo
+	deps     Dependencies
+	engines  engineClient
+	services platform.Service
+	clock    clock.Clock
+	log      *logrus.Entry
+	loop     *Loop
+	tasks    *taskgroup.Group
+	calls    *callRegistry
+	steps    *stepContents
+	tickets  *ticket.Registry
+	peers    *peerClients
+	metrics  *metrics.Set
+	// bodies is the room for bodies of calls.
+	bodies      *budget.Budget
 	replies     replyWaiters
 	usageCopies usageCopies
 	// lastRequest is the number in the newest request id.
@@ -98,7 +101,7 @@
 		log:      log.WithFields(logrus.Fields{"Instance": set.Instance, "DataCentre": set.DataCentre}),
 		calls:    newCallRegistry(), steps: newStepContents(),
 		tickets: &ticket.Registry{Self: self.Incarnation, Secret: []byte(set.FleetSecret), Clock: c},
-		peers:   newPeerClients(set.FleetSecret),
+		peers:   newPeerClients(set.FleetSecret), bodies: newBodyBudget(set),
 	}
 	window := clock.FromDuration(set.Window)
 	rec, err := p.newTraceWriter(window)
