cli: serve keeps its heap within its memory, like edge

Cause: with the room for bodies full, what was read before and is garbage by now took as much again: 156 to 214 MB of 128 with chunks without end and a key. Change: the runtime's soft limit (0.6 of the memory) and growth (40 %) of edge hold for serve.

--- a/internal/cli/hosted.go
+++ b/internal/cli/hosted.go
@@ -94,10 +94,7 @@
 		}
 	}
 	environment.Advertise = f.advertise
-	if environment.Memory > 0 {
-		debug.SetMemoryLimit(int64(float64(environment.Memory) * memoryLimitFraction))
-		debug.SetGCPercent(gcPercent)
-	}
+	boundHeap(environment.Memory)
 	app := fx.New(
 		fx.NopLogger, fx.Supply(environment, f), fx.Supply(log),
 		fx.StopTimeout(environment.Bounds.StopWithin),
@@ -118,6 +115,16 @@
 	return nil
 }
 
+// boundHeap makes the Go runtime collect garbage early enough for a process with some bytes
+// of memory, 0 if that is not known.
+func boundHeap(memory int64) {
+	if memory <= 0 {
+		return
+	}
+	debug.SetMemoryLimit(int64(float64(memory) * memoryLimitFraction))
+	debug.SetGCPercent(gcPercent)
+}
+
 // waitHosted waits until ctx ends. On SIGHUP it reads the settings file again,
 // but only logs whether it changed: settings take effect at the next start.
 func waitHosted(ctx context.Context, environment base.Environment, log *logrus.Logger) {
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -49,11 +49,15 @@
 			if err := set.Check(); err != nil {
 				return fmt.Errorf("invalid settings:\n%w", err)
 			}
+			boundHeap(set.MemoryMB * bytesPerMB)
 			return serveUntil(ctx, set, g.err)
 		},
 	}
 }
 
+// bytesPerMB is the size of a megabyte in which memory is set.
+const bytesPerMB = 1 << 20
+
 // serveUntil runs an instance until ctx ends, and then shuts it down gracefully. A
 // second signal ends it immediately.
 func serveUntil(ctx context.Context, set setting.Settings, logTo io.Writer) error {
