edge: one plan divides the memory of the process, in the dump and the metrics

Cause: shares stood in six rooms of the code and added up to the whole memory and more; what connections and heads take was in none. Change: MemoryPlan has every part: 32 MB for the process without callers, and what is left in percent for connections, peers, heads, bodies, calls of peers, the work on jobs, jobs, texts and loads from the store. The dump shows it; the metrics catkinhead_memory_plan_bytes, _used_bytes, _waiting, _evicted and _refused show what is used of it.

--- a/internal/edge/body.go
+++ b/internal/edge/body.go
@@ -21,17 +21,6 @@
 	// defaultBodyLimit bounds request bodies until a configuration is known, in
 	// bytes.
 	defaultBodyLimit = 32 << 20
-	// bodyMemoryShare is the part of the process's memory that bodies may take at the same
-	// time, with replies of targets that are held back and pages of results: one in
-	// bodyMemoryShare. workMemoryShare is that of what jobs take beside their bodies while
-	// they are decoded and stored.
-	bodyMemoryShare = 8
-	workMemoryShare = 6
-	// peerCallMemoryShare is that of the calls of peers and the answers to them.
-	peerCallMemoryShare = 16
-	// ownerPercent is the part of the room for bodies that one workspace may take, in
-	// percent.
-	ownerPercent = 75
 	// jobCopies is how many times the length of its body the submission of a job takes
 	// at most: the body, what it decodes to, and the record as it is encoded and sent.
 	jobCopies = 8
@@ -44,12 +33,6 @@
 	bodyRetryAfter clock.Millis = 400
 )
 
-// newBodyBudget returns the room for bodies of a process.
-func newBodyBudget(environment platform.Environment) *budget.Budget {
-	size := environment.Memory / bodyMemoryShare
-	return budget.New(size, size*ownerPercent/100)
-}
-
 // openHold returns the hold of the request's workspace on the room for bodies.
 func (cr *callerRequest) openHold() *budget.Hold {
 	var w unit.Workspace
--- a/internal/edge/content.go
+++ b/internal/edge/content.go
@@ -27,13 +27,6 @@
 }
 
 const (
-	// textMemoryShare is the part of the process's memory that texts may take: one in
-	// textMemoryShare.
-	textMemoryShare = 4
-	// jobMemoryShare is the part of the process's memory that jobs may take without their
-	// texts: one in jobMemoryShare. Beyond it, closed jobs are read from the store again,
-	// and no new ones are accepted.
-	jobMemoryShare = 4
 	// longText is the length up to which a text is kept whatever others take, in bytes.
 	longText = 64 << 10
 )
@@ -97,10 +90,21 @@
 	Ended bool         `json:",omitempty"`
 }
 
-// newContentStore returns the contents of a process with a memory limit in bytes, 0 for
-// none.
-func newContentStore(memory int64) *contentStore {
-	return &contentStore{jobs: make(map[string]*jobContent), maxTextBytes: memory / textMemoryShare, maxJobBytes: memory / jobMemoryShare}
+// newContentStore returns the contents of a process. Texts may take texts bytes, jobs
+// without them jobs bytes, 0 for no bound: beyond that, closed jobs are read from the store
+// again, and no new ones are accepted.
+func newContentStore(texts, jobs int64) *contentStore {
+	return &contentStore{jobs: make(map[string]*jobContent), maxTextBytes: texts, maxJobBytes: jobs}
+}
+
+// contentUsage is what contents take, in bytes, as last measured.
+type contentUsage struct{ texts, jobs int64 }
+
+// usage returns what the contents take.
+func (c *contentStore) usage() contentUsage {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return contentUsage{c.textBytes, c.jobBytes}
 }
 
 // grow adds n bytes to the size of a text. The error is errTextTooLong if the text has no
--- a/internal/edge/content_test.go
+++ b/internal/edge/content_test.go
@@ -238,8 +238,8 @@
 // jobs, since those accepted a moment ago are not counted yet.
 func TestAcceptedJobsCountAtOnce(t *testing.T) {
 	const memory = 1 << 20
-	c := newContentStore(memory)
-	item := platform.Item{ID: "i", Path: "/", Body: make([]byte, memory/jobMemoryShare+1)}
+	c := newContentStore(0, memory)
+	item := platform.Item{ID: "i", Path: "/", Body: make([]byte, memory+1)}
 	if c.full() {
 		t.Error("full without a job")
 	}
--- a/internal/edge/dump.go
+++ b/internal/edge/dump.go
@@ -23,13 +23,15 @@
 	Versions             map[unit.Model]unit.Version
 	Assigned             map[unit.Target]unit.Model
 	Leases               map[unit.Scope]*lease.Lease
+	// Memory is how the memory of the process is divided, in bytes.
+	Memory MemoryPlan
 }
 
 // Dump returns the state to show to operators. Its maps are those of s, not
 // copies, so it must not be used while events are applied.
 func (s *State) Dump() Dump {
 	d := Dump{
-		Build:    build.Current(),
+		Build: build.Current(), Memory: NewMemoryPlan(s.Environment.Memory),
 		Instance: s.Environment.Instance, ConfirmedAt: s.ConfirmedAt, Draining: s.Draining, Targets: s.Roster.Targets,
 		Jobs: s.Batch.Jobs, Peers: s.Heartbeats.Peers, Versions: s.ModelVersions.Wanted, Assigned: s.ModelVersions.Assigned, Leases: s.Leases.Leases,
 	}
--- a/internal/edge/endless_test.go
+++ b/internal/edge/endless_test.go
@@ -55,12 +55,16 @@
 	return func(n int) string { return fmt.Sprintf("id: %d\ndata: %s\n\n", n, data) }
 }
 
+// testShare is the part of the memory that texts, or held replies, may take in these tests:
+// one in testShare.
+const testShare = 4
+
 // textProcess returns a process that owns the test job, with a memory limit in bytes.
 func textProcess(items int, memory int64) (*Process, *jobContent) {
 	p := testProcess(&memoryStore{})
 	p.metrics = metrics.NewSet()
 	p.deps.Backends = platform.NewBackends(clock.System{}, time.Second)
-	p.contents = newContentStore(memory)
+	p.contents = newContentStore(memory/testShare, 0)
 	job := testItems(items)
 	c := newJobContent(jobRecord{}, job)
 	c.epoch = 1
@@ -158,10 +162,10 @@
 		})
 		most = max(most, total)
 	}
-	if limit := memory/textMemoryShare + items*longText; most > limit {
+	if limit := memory/testShare + items*longText; most > limit {
 		t.Errorf("texts took %d KB, want at most %d", most>>10, limit>>10)
 	}
-	if limit := memory / textMemoryShare; most < limit/2 {
+	if limit := memory / testShare; most < limit/2 {
 		t.Errorf("texts took %d KB: the test does not reach the bound", most>>10)
 	}
 }
@@ -177,7 +181,7 @@
 		return strings.Repeat("x", 32<<10)
 	})
 	p, srv := cutProcess(t, address)
-	p.bodies = budget.New(memory/bodyMemoryShare, memory/bodyMemoryShare)
+	p.bodies = budget.New(memory/testShare, memory/testShare)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	var wg sync.WaitGroup
@@ -201,11 +205,11 @@
 	time.Sleep(500 * time.Millisecond)
 	runtime.GC()
 	all := p.bodies.Open("", nil)
-	if all.TryGrow(memory / bodyMemoryShare) {
+	if all.TryGrow(memory / testShare) {
 		t.Error("no reply takes room for bodies")
 	}
 	wg.Wait()
-	for until := time.Now().Add(2 * time.Second); !all.TryGrow(memory / bodyMemoryShare); time.Sleep(10 * time.Millisecond) {
+	for until := time.Now().Add(2 * time.Second); !all.TryGrow(memory / testShare); time.Sleep(10 * time.Millisecond) {
 		if time.Now().After(until) {
 			t.Fatal("room for bodies was not given back")
 		}
--- a/internal/edge/heartbeat_test.go
+++ b/internal/edge/heartbeat_test.go
@@ -250,7 +250,7 @@
 // TestManyJobsAreTooMany guards against more jobs of an instance than its heartbeats can
 // name: closed ones are forgotten, and beyond the bound none is accepted.
 func TestManyJobsAreTooMany(t *testing.T) {
-	c := newContentStore(0)
+	c := newContentStore(0, 0)
 	for n := range maxOwnedJobs {
 		if c.full() {
 			t.Fatalf("full with %d jobs", n)
--- a/internal/edge/jobs.go
+++ b/internal/edge/jobs.go
@@ -7,7 +7,6 @@
 	"fmt"
 
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sync/semaphore"
 
 	"github.com/catkinhead/catkinhead/internal/op"
 	"github.com/catkinhead/catkinhead/pkg/clock"
@@ -29,25 +28,13 @@
 )
 
 const (
-	// loadMemoryShare is the part of the process's memory that jobs may take that are
-	// being read from the store for callers: one in loadMemoryShare. loadCopies is how
-	// many times the size of the largest object each takes.
-	loadMemoryShare = 4
-	loadCopies      = 4
+	// loadCopies is how many times the size of the largest object a job takes that is being
+	// read from the store.
+	loadCopies = 4
 	// defaultLoads is how many jobs are read at once if no memory limit is known.
 	defaultLoads = 16
 )
 
-// newLoads returns how many jobs a process may read from the store for callers at once.
-// A takeover does not wait for them.
-func newLoads(environment platform.Environment) *semaphore.Weighted {
-	if environment.Memory <= 0 || environment.Bounds.ValueBytes <= 0 {
-		return semaphore.NewWeighted(defaultLoads)
-	}
-	n := environment.Memory / loadMemoryShare / int64(loadCopies*environment.Bounds.ValueBytes)
-	return semaphore.NewWeighted(max(n, 1))
-}
-
 // chunkKey returns the key of a chunk of a job's results.
 func chunkKey(job string, n int) string { return fmt.Sprintf("%s%s/%06d", chunksKind, job, n) }
 
--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -13,12 +13,7 @@
 	// without its head and body, in bytes: what the system keeps unread, buffers,
 	// goroutines and, for callers, the connection to a target.
 	callerConnectionBytes = 80 << 10
-	peerConnectionBytes   = 64 << 10
-	// Connections of callers, connections of peers and heads of callers may take one in so
-	// many parts of the process's memory, each.
-	callerMemoryShare = 8
-	peerMemoryShare   = 8
-	headMemoryShare   = 16
+	peerConnectionBytes   = 48 << 10
 	// Callers may take one in callerSocketShare of the process's sockets, peers one in
 	// peerSocketShare. The others are for targets, the store and the cloud service.
 	callerSocketShare = 4
@@ -41,25 +36,26 @@
 // NewListenLimits divides the memory and the sockets of a process among its listeners.
 // callers returns what the configuration says of callers.
 func NewListenLimits(environment platform.Environment, callers func() listen.ClientLimits) ListenLimits {
+	plan := NewMemoryPlan(environment.Memory)
 	l := listen.Limits{BodyTime: listen.DefaultBodyTime, WriteTime: listen.DefaultWriteTime, Client: listen.Internal}
 	out := ListenLimits{Callers: l, Peers: l, Probes: l, Metrics: l}
-	out.Callers.Client, out.Callers.Heads, out.Callers.WholeBodies = callers, environment.Memory/headMemoryShare, true
-	out.Callers.Connections = connectionLimit(environment, callerSocketShare, callerMemoryShare*callerConnectionBytes)
-	out.Peers.Connections = connectionLimit(environment, peerSocketShare, peerMemoryShare*peerConnectionBytes)
+	out.Callers.Client, out.Callers.Heads, out.Callers.WholeBodies = callers, plan.Heads, true
+	out.Callers.Connections = connectionLimit(environment, callerSocketShare, plan.Connections/callerConnectionBytes)
+	out.Peers.Connections = connectionLimit(environment, peerSocketShare, plan.Peers/peerConnectionBytes)
 	out.Probes.Connections, out.Metrics.Connections = probeConnections, metricConnections
 	out.Peers.Heads, out.Probes.Heads, out.Metrics.Heads = internalHeads, internalHeads, internalHeads
 	return out
 }
 
 // connectionLimit returns how many connections of a listener may be open, if they may take
-// one in socketShare of the sockets, and each stands for memory bytes of the process.
-func connectionLimit(environment platform.Environment, socketShare int, memory int64) int {
+// one in socketShare of the sockets, and if there is memory for some.
+func connectionLimit(environment platform.Environment, socketShare int, byMemory int64) int {
 	n := defaultConnections
 	if environment.Sockets > 0 {
 		n = environment.Sockets / socketShare
 	}
 	if environment.Memory > 0 {
-		n = min(n, int(environment.Memory/memory))
+		n = min(n, int(byMemory))
 	}
 	return max(n, 1)
 }
--- a/internal/edge/ownership_test.go
+++ b/internal/edge/ownership_test.go
@@ -62,7 +62,7 @@
 }
 
 func newOwner(name unit.Instance) *owner {
-	o := &owner{name: name, state: batch.State{Self: name}, contents: newContentStore(0)}
+	o := &owner{name: name, state: batch.State{Self: name}, contents: newContentStore(0, 0)}
 	o.view = batch.View{Roster: &roster.State{}, Table: testTable()}
 	o.view.Roster.Upsert(0, platform.TargetEntry{Target: "t", Pool: "p", Address: "1.1.1.1:1", Slots: 4})
 	return o
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -11,7 +11,6 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/semaphore"
 
-	"github.com/catkinhead/catkinhead/internal/budget"
 	"github.com/catkinhead/catkinhead/internal/build"
 	"github.com/catkinhead/catkinhead/internal/op"
 	"github.com/catkinhead/catkinhead/internal/taskgroup"
@@ -64,10 +63,9 @@
 	metrics     *metrics.Set
 	contents    *contentStore
 	transport   *peerTransport
-	// bodies is the room for bodies of requests and pages of results, work that for what
-	// jobs take beside their bodies while they are accepted, peerCalls that for calls of
-	// peers and the answers to them.
-	bodies, work, peerCalls *budget.Budget
+	// plan divides the memory, and rooms bound what requests take of it.
+	plan MemoryPlan
+	rooms
 	// loads bounds how many jobs are read from the store for callers at once.
 	loads *semaphore.Weighted
 	// mu guards state. Events are applied one at a time.
@@ -99,16 +97,15 @@
 // process serves neither relayed calls nor mirrors to peers. The error means that
 // the socket for heartbeats could not be opened.
 func New(environment platform.Environment, deps Dependencies, relay *Relay, c clock.Clock, log *logrus.Logger) (*Process, error) {
+	plan := NewMemoryPlan(environment.Memory)
 	self := unit.Incarnation(fmt.Sprintf("%s#%020d", environment.Instance, time.Now().UnixMicro()))
 	p := &Process{
-		environment: environment, deps: deps, clock: c, contents: newContentStore(environment.Memory), relay: relay,
-		bodies:    newBodyBudget(environment),
-		peerCalls: budget.New(environment.Memory/peerCallMemoryShare, environment.Memory/peerCallMemoryShare),
-		work:      budget.New(environment.Memory/workMemoryShare, environment.Memory/workMemoryShare),
-		loads:     newLoads(environment),
-		log:       log.WithFields(logrus.Fields{"Instance": environment.Instance}),
-		state:     NewState(environment, self, c.Now()),
-		mirrors:   map[string]*mirror{deps.Kinds.Configuration: newMirror(), deps.Kinds.Targets: newMirror()},
+		plan: plan, rooms: newRooms(plan), contents: newContentStore(plan.Texts, plan.Jobs),
+		loads:       semaphore.NewWeighted(newLoadLimit(plan, environment.Bounds)),
+		environment: environment, deps: deps, clock: c, relay: relay,
+		log:     log.WithFields(logrus.Fields{"Instance": environment.Instance}),
+		state:   NewState(environment, self, c.Now()),
+		mirrors: map[string]*mirror{deps.Kinds.Configuration: newMirror(), deps.Kinds.Targets: newMirror()},
 	}
 	var err error
 	if p.transport, err = newPeerTransport(environment); err != nil {
@@ -118,6 +115,7 @@
 		relay.livePeers = p.livePeerAddresses
 	}
 	p.metrics = p.newMetrics()
+	p.registerMemory()
 	if relay != nil {
 		relay.onCall = func(method, kind string, relayed bool) {
 			p.metrics.GetOrCreateCounter(fmt.Sprintf("catkinhead_store_requests_total{method=%q,kind=%q,relayed=\"%t\"}", method, kind, relayed)).Inc()
--- a/internal/edge/reuse_test.go
+++ b/internal/edge/reuse_test.go
@@ -48,7 +48,7 @@
 }
 
 func TestTextsOfEndedJobsExpire(t *testing.T) {
-	contents := newContentStore(0)
+	contents := newContentStore(0, 0)
 	c := newJobContent(jobRecord{}, testItems(1))
 	contents.put("j", c)
 	addTestEvents(c, 0, "a/1", "one")
--- a/internal/edge/reward_test.go
+++ b/internal/edge/reward_test.go
@@ -54,7 +54,7 @@
 // rewardProcess returns a process that holds a job with the reward call s0,
 // whose item has a complete output.
 func rewardProcess(backends platform.Backends) *Process {
-	p := &Process{clock: clock.System{}, contents: newContentStore(0), log: logrus.NewEntry(logrus.New())}
+	p := &Process{clock: clock.System{}, contents: newContentStore(0, 0), log: logrus.NewEntry(logrus.New())}
 	p.deps.Backends = backends
 	job := testItems(1)
 	job.Items[0].Reward = &platform.RewardCall{ID: "s0", Host: "h", Path: "/score/x", Body: []byte("b")}
--- a/internal/edge/store_test.go
+++ b/internal/edge/store_test.go
@@ -13,8 +13,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/semaphore"
 
-	"github.com/catkinhead/catkinhead/internal/budget"
 	"github.com/catkinhead/catkinhead/pkg/clock"
 	"github.com/catkinhead/catkinhead/pkg/platform"
 	"github.com/catkinhead/catkinhead/pkg/unit"
@@ -91,8 +91,8 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	return &Process{
-		deps: Dependencies{Store: store}, clock: clock.System{}, log: logrus.NewEntry(log), contents: newContentStore(0),
-		loads: newLoads(platform.Environment{}), bodies: budget.New(0, 0), work: budget.New(0, 0), peerCalls: budget.New(0, 0),
+		deps: Dependencies{Store: store}, clock: clock.System{}, log: logrus.NewEntry(log), contents: newContentStore(0, 0),
+		loads: semaphore.NewWeighted(defaultLoads), rooms: newRooms(MemoryPlan{}),
 		state: NewState(platform.Environment{Instance: "a"}, "a#1", 0),
 	}
 }
