--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -1,7 +1,9 @@
 package edge
 
 import (
-	"fmt"
+	"sync"
+
+	"github.com/sirupsen/logrus"
 
 	"github.com/catkinhead/catkinhead/internal/listen"
 	"github.com/catkinhead/catkinhead/pkg/clock"
@@ -73,18 +75,44 @@
 	return out.OrDefault()
 }
 
-// WatchGate adds what a listener does to the metrics. use says what the listener is for.
+// gateWatch is a listener whose counts are logged when they change.
+type gateWatch struct {
+	use    string
+	gate   *listen.Gate
+	logged listen.Counts
+}
+
+// gateWatches holds the watched listeners of a process.
+type gateWatches struct {
+	mu  sync.Mutex
+	all []*gateWatch
+}
+
+// WatchGate adds what a listener does to the metrics and the log. use says what the
+// listener is for.
 func (p *Process) WatchGate(use string, g *listen.Gate) {
-	for name, value := range map[string]func(listen.Counts) int64{
-		"connections":           func(c listen.Counts) int64 { return c.Open },
-		"connections_most":      func(c listen.Counts) int64 { return c.Most },
-		"connections_limit":     func(c listen.Counts) int64 { return c.Limit },
-		"connections_evicted":   func(c listen.Counts) int64 { return c.Evicted },
-		"connections_refused":   func(c listen.Counts) int64 { return c.Refused },
-		"heads_too_long":        func(c listen.Counts) int64 { return c.LongHeads },
-		"heads_without_room":    func(c listen.Counts) int64 { return c.HeadsWithoutRoom },
-		"heads_in_memory_bytes": func(c listen.Counts) int64 { return c.HeadBytes },
-	} {
-		p.metrics.NewGauge(fmt.Sprintf("catkinhead_%s{listener=%q}", name, use), func() float64 { return float64(value(g.Counts())) })
+	p.gates.mu.Lock()
+	p.gates.all = append(p.gates.all, &gateWatch{use: use, gate: g})
+	p.gates.mu.Unlock()
+	g.Register(p.metrics, use)
+}
+
+// logGates writes a line for each listener that closed or refused clients since its last
+// line. These have no request whose line could say so.
+func (p *Process) logGates() {
+	p.gates.mu.Lock()
+	defer p.gates.mu.Unlock()
+	for _, w := range p.gates.all {
+		now, was := w.gate.Counts(), w.logged
+		evicted, refused := now.Evicted-was.Evicted, now.Refused-was.Refused
+		long, noRoom := now.LongHeads-was.LongHeads, now.HeadsWithoutRoom-was.HeadsWithoutRoom
+		if evicted+refused+long+noRoom == 0 {
+			continue
+		}
+		w.logged = now
+		p.log.WithFields(logrus.Fields{
+			"Listener": w.use, "Evicted": evicted, "Refused": refused, "HeadsTooLong": long, "HeadsWithoutRoom": noRoom,
+			"Open": now.Open, "Limit": now.Limit,
+		}).Warn("clients were closed or refused before their requests were read")
 	}
 }
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -66,6 +66,7 @@
 	// plan divides the memory, and rooms bound what requests take of it.
 	plan MemoryPlan
 	rooms
+	gates gateWatches
 	// loads bounds how many jobs are read from the store for callers at once.
 	loads *semaphore.Weighted
 	// mu guards state. Events are applied one at a time.
@@ -151,6 +152,7 @@
 			if e := p.eventTimes.collect(); len(e.Millis) > 0 {
 				p.apply(e)
 			}
+			p.logGates()
 			p.contents.dropExpiredTexts(p.clock.Now())
 			for _, job := range p.contents.measure() {
 				p.log.WithField("Job", job).Info("closed job is forgotten: jobs take too much memory")
--- a/internal/serve/module.go
+++ b/internal/serve/module.go
@@ -77,6 +77,7 @@
 			if err != nil {
 				return fmt.Errorf("--listen: %w", err)
 			}
+			ln.Register(p.metrics, "all")
 			p.Run(context.Background())
 			go func() { ended <- srv.Serve(ln) }()
 			p.log.WithField("Address", ln.Addr().String()).Info("serving")
