listen: large heads that are held back do not shut out others

Cause (found by reading the diff): the room for heads was taken from all, so some ten clients with a head of 16 KB of short fields each, not ended and begun anew every 3 s, left ordinary requests 503. Change: 8 KB of what a head takes belong to its connection, more than usual heads take; without room for more, the largest head that has not arrived yields. Test: TestLargeHeadsDoNotShutOutOthers, red before for heads of 600 and 800 fields (usual ones still fitted there).

--- a/internal/listen/conn.go
+++ b/internal/listen/conn.go
@@ -35,9 +35,10 @@
 	// with a head: the size of the buffer of http.Server.
 	headSlack = 4096
 	// A head takes about headByteCost times its length and headLineCost for each of its
-	// lines, both in bytes.
+	// lines, both in bytes. headFree of that belong to what its connection takes.
 	headByteCost = 2
 	headLineCost = 192
+	headFree     = 8 << 10
 	// refusalTime bounds the time for writing a refusal, lingerTime that for which its
 	// reader may still send, lingerBytes how much.
 	refusalTime = 100 * time.Millisecond
@@ -65,9 +66,10 @@
 	phase phase
 	// since is when the phase began.
 	since time.Time
-	// headBytes counts what was read of the present head. Only the goroutine that reads
-	// uses it. charged is what the head takes of the room for heads.
+	// headBytes counts what was read of the present head, headCost what it takes. Only the
+	// goroutine that reads uses them. charged is what the head takes of the room for heads.
 	headBytes int
+	headCost  int64
 	charged   atomic.Int64
 	// writeBy is the write deadline that is set. writing guards it.
 	writing sync.Mutex
@@ -121,16 +123,29 @@
 		c.gate.counts.longHeads.Add(1)
 		return longHeadAnswer, errLongHead
 	}
-	cost := int64(headByteCost*len(b) + headLineCost*bytes.Count(b, []byte("\n")))
-	if !c.gate.heads.take(cost) {
+	c.headCost += int64(headByteCost*len(b) + headLineCost*bytes.Count(b, []byte("\n")))
+	if !c.charge(c.headCost - headFree - c.charged.Load()) {
 		c.gate.counts.headsWithoutRoom.Add(1)
 		return noRoomAnswer, errNoHeadRoom
 	}
-	c.charged.Add(cost)
+	return nil, nil
+}
+
+// charge takes n bytes of the room for heads. Larger heads that have not arrived yield.
+func (c *conn) charge(n int64) bool {
+	if n <= 0 {
+		return true
+	}
+	for !c.gate.heads.take(n) {
+		if !c.gate.evictLargerHead(c.charged.Load() + n) {
+			return false
+		}
+	}
+	c.charged.Add(n)
 	if c.closed.Load() {
 		c.discharge()
 	}
-	return nil, nil
+	return true
 }
 
 // discharge gives back what the head takes.
--- a/internal/listen/gate.go
+++ b/internal/listen/gate.go
@@ -136,9 +136,28 @@
 }
 
 // evict makes a connection yield, and reports whether there was one.
-func (g *Gate) evict() bool {
+func (g *Gate) evict() bool { return g.evictChosen(func() *conn { return g.victim(time.Now()) }) }
+
+// evictLargerHead makes the connection with the largest head yield that has not arrived and
+// takes more than n bytes, and reports whether there was one.
+func (g *Gate) evictLargerHead(n int64) bool {
+	return g.evictChosen(func() *conn {
+		var largest *conn
+		for e := g.arriving.Front(); e != nil; e = e.Next() {
+			c := e.Value.(*conn)
+			if charged := c.charged.Load(); c.phase == inHead && charged > n {
+				largest, n = c, charged
+			}
+		}
+		return largest
+	})
+}
+
+// evictChosen makes the connection yield that choose, which holds g.mu, returns, and
+// reports whether there was one.
+func (g *Gate) evictChosen(choose func() *conn) bool {
 	g.mu.Lock()
-	victim := g.victim(time.Now())
+	victim := choose()
 	if victim == nil {
 		g.mu.Unlock()
 		return false
--- a/internal/listen/gate_test.go
+++ b/internal/listen/gate_test.go
@@ -145,6 +145,24 @@
 	}
 }
 
+// TestLargeHeadsDoNotShutOutOthers guards against a few clients that take the whole room for
+// heads and stay: usual requests need none of it, and heads that have not arrived yield to
+// smaller ones.
+func TestLargeHeadsDoNotShutOutOthers(t *testing.T) {
+	const room = 512 << 10
+	fields := func(n int) string { return "GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("A:\r\n", n) }
+	s := startServer(t, Limits{Heads: room, Client: func() ClientLimits { return ClientLimits{HeadBytes: 16 << 10}.OrDefault() }}, nil)
+	for range 8 {
+		s.dial(fields(1200))
+	}
+	s.await("the heads", func() bool { return s.gate.Counts().HeadBytes > room/2 })
+	for n, head := range []string{request, request, fields(600) + "\r\n", fields(800) + "\r\n"} {
+		if got := status(s.dial(head)); got != http.StatusOK {
+			t.Errorf("request %d: got %d", n, got)
+		}
+	}
+}
+
 // TestRoomForHeadsIsGivenBack checks that a connection with many requests takes no more
 // room than one of them, and that limits are asked for anew.
 func TestRoomForHeadsIsGivenBack(t *testing.T) {
--- a/internal/listen/server.go
+++ b/internal/listen/server.go
@@ -34,7 +34,7 @@
 		return
 	}
 	c.discharge()
-	c.headBytes = 0
+	c.headBytes, c.headCost = 0, 0
 	c.writing.Lock()
 	c.answered = false
 	c.writing.Unlock()
