edge: one workspace may take three quarters of the room for jobs

Cause (by reading): a caller with a key could fill the memory for jobs, or their number, and an instance refused the jobs of all workspaces. Change: a workspace is refused when it takes three quarters of either; closed jobs are forgotten from there on (before: when all jobs took the whole). Test: TestWorkspacesShareTheRoomForJobs, red before for another workspace only by number of jobs in all; the rows at three quarters did not exist.

--- a/internal/edge/accept.go
+++ b/internal/edge/accept.go
@@ -40,7 +40,7 @@
 // acceptJob decodes a submitted job, stores it and answers the caller. While there is no
 // room for it in memory, it refuses the job.
 func (cr *callerRequest) acceptJob(e op.AcceptJob) {
-	release, err := cr.roomForJob()
+	release, err := cr.roomForJob(e.Workspace)
 	if err != nil {
 		cr.log("no room for a job", logrus.Fields{"Error": err.Error(), "Length": len(cr.body)})
 		cr.respond(op.Respond{Status: http.StatusServiceUnavailable, Reason: op.Overloaded, Outcome: unit.NotRun, RetryAfter: jobRetryAfter})
@@ -115,8 +115,8 @@
 
 // roomForJob waits for room for what a job takes beside its body while it is decoded and
 // stored, and returns a function that gives it back.
-func (cr *callerRequest) roomForJob() (release func(), err error) {
-	if cr.p.contents.full() {
+func (cr *callerRequest) roomForJob(w unit.Workspace) (release func(), err error) {
+	if cr.p.contents.full(w) {
 		return nil, fmt.Errorf("%w: open jobs take too much memory", budget.ErrNoRoom)
 	}
 	hold := cr.p.work.Open("", nil)
@@ -127,7 +127,7 @@
 		return nil, fmt.Errorf("decode job: %w", err)
 	}
 	// Others may have been accepted meanwhile.
-	if cr.p.contents.full() {
+	if cr.p.contents.full(w) {
 		hold.Close()
 		return nil, fmt.Errorf("%w: open jobs take too much memory by now", budget.ErrNoRoom)
 	}
--- a/internal/edge/content.go
+++ b/internal/edge/content.go
@@ -24,12 +24,13 @@
 	// jobBytes is what the jobs take, as of the last measure, without their texts.
 	// maxJobBytes bounds it; 0 means no bound.
 	jobBytes, maxJobBytes int64
+	// owned is what the jobs of each workspace take, as of the last measure, with those
+	// added since.
+	owned map[unit.Workspace]jobUsage
 }
 
-const (
-	// longText is the length up to which a text is kept whatever others take, in bytes.
-	longText = 64 << 10
-)
+// longText is the length up to which a text is kept whatever others take, in bytes.
+const longText = 64 << 10
 
 // jobContent is the content of one job.
 type jobContent struct {
@@ -94,7 +95,7 @@
 // without them jobs bytes, 0 for no bound: beyond that, closed jobs are read from the store
 // again, and no new ones are accepted.
 func newContentStore(texts, jobs int64) *contentStore {
-	return &contentStore{jobs: make(map[string]*jobContent), maxTextBytes: texts, maxJobBytes: jobs}
+	return &contentStore{jobs: make(map[string]*jobContent), owned: make(map[unit.Workspace]jobUsage), maxTextBytes: texts, maxJobBytes: jobs}
 }
 
 // contentUsage is what contents take, in bytes, as last measured.
@@ -122,12 +123,34 @@
 	return nil
 }
 
-// full reports whether the jobs take all the room that they may take, in memory or in
-// heartbeats.
-func (c *contentStore) full() bool {
+// jobUsage is what the jobs of a workspace take: bytes, without their texts, and their
+// number.
+type jobUsage struct {
+	bytes int64
+	jobs  int
+}
+
+// full reports whether jobs take all the room that they may take, in memory or in
+// heartbeats, all of them or those of a workspace.
+func (c *contentStore) full(w unit.Workspace) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.maxJobBytes > 0 && c.jobBytes > c.maxJobBytes || len(c.jobs) >= maxOwnedJobs
+	own := c.owned[w]
+	if len(c.jobs) >= maxOwnedJobs || own.jobs >= ownerShare(maxOwnedJobs) {
+		return true
+	}
+	return c.maxJobBytes > 0 && (c.jobBytes > c.maxJobBytes || own.bytes > ownerShare(c.maxJobBytes))
+}
+
+// ownerShare returns the part of something that one workspace may take.
+func ownerShare[N int | int64](all N) N { return all * ownerPercent / 100 }
+
+// count counts a job as one of its workspace's. The caller holds c.mu.
+func (c *contentStore) count(j *jobContent) {
+	u := c.owned[j.record.Workspace]
+	u.bytes += j.bytes()
+	u.jobs++
+	c.owned[j.record.Workspace] = u
 }
 
 // measure measures what the jobs and their texts take. It returns the closed jobs that
@@ -136,10 +159,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.textBytes, c.jobBytes = 0, 0
+	clear(c.owned)
 	var closed []string
 	for id, j := range c.jobs {
 		c.textBytes += j.textBytes()
 		c.jobBytes += j.bytes()
+		c.count(j)
 		if j.closed() {
 			closed = append(closed, id)
 		}
@@ -159,10 +184,10 @@
 }
 
 // crowded reports whether more closed jobs are to be forgotten, if those left take some
-// bytes and some are to be forgotten already: once the jobs are above a bound, until they
-// take half of it.
+// bytes and some are to be forgotten already: once the jobs take more than one workspace
+// may, until they take half of that.
 func (c *contentStore) crowded(left int64, forgotten int) bool {
-	bytes, jobs := c.maxJobBytes, maxOwnedJobs-1
+	bytes, jobs := ownerShare(c.maxJobBytes), ownerShare(maxOwnedJobs)-1
 	if forgotten > 0 {
 		bytes, jobs = bytes/2, jobs/2
 	}
@@ -230,6 +255,7 @@
 	}
 	c.jobs[id] = j
 	c.jobBytes += j.bytes()
+	c.count(j)
 	return true
 }
 
--- a/internal/edge/content_test.go
+++ b/internal/edge/content_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -240,11 +241,41 @@
 	const memory = 1 << 20
 	c := newContentStore(0, memory)
 	item := platform.Item{ID: "i", Path: "/", Body: make([]byte, memory+1)}
-	if c.full() {
+	if c.full("") {
 		t.Error("full without a job")
 	}
 	c.put("j", newJobContent(jobRecord{}, platform.Job{ID: "j", Items: []platform.Item{item}}))
-	if !c.full() {
+	if !c.full("") {
 		t.Error("a job that fills the memory for jobs leaves room")
 	}
 }
+
+// TestWorkspacesShareTheRoomForJobs guards against one workspace that shuts out the jobs of
+// all others, by their memory or their number.
+func TestWorkspacesShareTheRoomForJobs(t *testing.T) {
+	const memory = 1 << 20
+	tests := map[string]struct {
+		// jobs with an item of itemBytes bytes each are those of one workspace.
+		jobs, itemBytes int
+		full            bool
+	}{
+		"little":       {10, 100, false},
+		"much memory":  {1, memory*ownerPercent/100 + 1, true},
+		"many jobs":    {maxOwnedJobs * ownerPercent / 100, 0, true},
+		"nearly many":  {maxOwnedJobs*ownerPercent/100 - 1, 0, false},
+		"nearly large": {1, memory * (ownerPercent - 5) / 100, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := newContentStore(0, memory)
+			for n := range tt.jobs {
+				item := platform.Item{ID: "i", Path: "/", Body: make([]byte, tt.itemBytes)}
+				c.put(fmt.Sprint(n), newJobContent(jobRecord{Workspace: "w"}, platform.Job{ID: "j", Items: []platform.Item{item}}))
+			}
+			c.measure()
+			if c.full("w") != tt.full || c.full("other") {
+				t.Errorf("full: %t, for another workspace: %t", c.full("w"), c.full("other"))
+			}
+		})
+	}
+}
--- a/internal/edge/heartbeat_test.go
+++ b/internal/edge/heartbeat_test.go
@@ -252,14 +252,16 @@
 func TestManyJobsAreTooMany(t *testing.T) {
 	c := newContentStore(0, 0)
 	for n := range maxOwnedJobs {
-		if c.full() {
+		w := unit.Workspace(fmt.Sprint("w", n%2))
+		if c.full(w) {
 			t.Fatalf("full with %d jobs", n)
 		}
 		j := newTestContent()
+		j.record.Workspace = w
 		j.ended = n%2 == 0
 		c.put(fmt.Sprint(n), j)
 	}
-	if !c.full() {
+	if !c.full("w0") || !c.full("w1") {
 		t.Error("not full")
 	}
 	if got := len(c.measure()); got != maxOwnedJobs/2 {
