--- a/review/rig3/copy.go
+++ b/review/rig3/copy.go
@@ -24,9 +24,12 @@
 	// failingRuns is how many runs of the flaky item fail, maxAttempts the limit of the route.
 	failingRuns = 2
 	maxAttempts = 3
+	// partEvents is how many events of the output the second answer has in steps with an odd
+	// number.
+	partEvents = 3
 	// maxCopied is the largest share of answers that are sent twice.
 	maxCopied = 0.03
-	steps     = 5
+	steps     = 6
 	stepTime  = 8 * time.Second
 	groups    = 12
 	groupSize = 4
@@ -39,15 +42,16 @@
 	// failed counts the answers of 500 by item, begun its runs.
 	failed, begun map[string]int
 	// faultyUntil is the end of the present window, copied whether an answer was sent twice
-	// in it.
-	faultyUntil time.Time
-	copied      bool
+	// in it. part is set if the second answer is a part of the output.
+	faultyUntil  time.Time
+	copied, part bool
 	// answers counts those of the faulty workers in windows, copies those sent twice.
 	answers, copies int
 }
 
-// playCopy plays a batch job with an item of which two runs fail, while workers send a few
-// answers a second time. The item must not be given up before the third failure.
+// playCopy plays batch jobs with an item of which two runs fail, while workers send a second
+// answer to a few requests: the same one again, or a part of the output. The item must not be
+// given up before the third failure, nor be completed with a part of its output.
 func playCopy(r *rig) (bool, error) {
 	c := &copyCase{r: r, failed: make(map[string]int), begun: make(map[string]int)}
 	r.store.Set("config", "main", fmt.Sprintf(`{"version":3,"routes":[
@@ -117,8 +121,8 @@
 	}
 }
 
-// fail answers a run with status 500, and sends the answer twice if the worker is faulty
-// and no other answer was sent twice in this window.
+// fail answers a run with status 500, and sends a second answer if the worker is faulty and
+// no other request got one in this window.
 func (c *copyCase) fail(w *worker, conn net.Conn, in *http.Request, inWindow bool) {
 	id := in.Header.Get("X-Attempt-Id")
 	c.r.record("%s begins to run %s, asked from %s", w.id, id, conn.RemoteAddr())
@@ -134,15 +138,19 @@
 		c.copied = true
 		c.copies++
 	}
-	n := c.failed[id]
+	n, part := c.failed[id], c.part
 	c.mu.Unlock()
 	c.r.record("%s answers %s with status 500, number %d, error %v", w.id, id, n, err)
 	if !twice {
 		return
 	}
+	second, what := answer, "the same answer"
+	if part {
+		second, what = w.partOfOutput(in), fmt.Sprintf("%d events", partEvents)
+	}
 	time.AfterFunc(copyDelay, func() {
-		_, err := io.WriteString(conn, answer)
-		c.r.record("%s sends this answer to %s a second time, error %v", w.id, id, err)
+		_, err := io.WriteString(conn, second)
+		c.r.record("%s sends a second answer to %s, %s, error %v", w.id, id, what, err)
 	})
 }
 
@@ -157,7 +165,9 @@
 		case <-tick.C:
 		}
 		e := c.r.edges[n%len(c.r.edges)]
-		go func() { _, _ = e.call(http.MethodPost, "/live/x", fmt.Sprintf("live-%d", n), []byte("x"), 1500*time.Millisecond) }()
+		go func() {
+			_, _ = e.call(http.MethodPost, "/live/x", fmt.Sprintf("live-%d", n), []byte("x"), 1500*time.Millisecond)
+		}()
 	}
 }
 
@@ -167,7 +177,7 @@
 	began := time.Now()
 	id := fmt.Sprintf("job-%d", step)
 	c.mu.Lock()
-	c.faultyUntil, c.copied = began.Add(copyWindow), false
+	c.faultyUntil, c.copied, c.part = began.Add(copyWindow), false, step%2 == 1
 	c.mu.Unlock()
 	var items []map[string]any
 	for n := range groups * groupSize {
@@ -203,7 +213,7 @@
 		c.mu.Unlock()
 		switch {
 		case one.State == "completed" && one.Text != outputOf(one.ID):
-			c.r.record("%s is completed with another text", one.ID)
+			c.r.record("%s is completed with a text of %d of %d bytes", one.ID, len(one.Text), len(outputOf(one.ID)))
 			ok = false
 		case one.State == "completed":
 			completed++
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -19,6 +19,7 @@
 // cases holds the cases by the name of their folder. Each returns whether the rule held.
 var cases = map[string]func(*rig) (bool, error){
 	"copy": playCopy,
+	"cut":  playCut,
 }
 
 // main plays the case that the first argument names. The second one is its folder, to
--- a/review/rig3/worker.go
+++ b/review/rig3/worker.go
@@ -150,3 +150,13 @@
 	_, err := io.WriteString(c, "0\r\n\r\n")
 	return err == nil
 }
+
+// partOfOutput returns an answer with the first events of an item, which looks whole.
+func (w *worker) partOfOutput(in *http.Request) string {
+	id := in.Header.Get("X-Attempt-Id")
+	var body strings.Builder
+	for n := range partEvents {
+		fmt.Fprintf(&body, "id: %d\ndata: %s-%d\n\n", n, id, n)
+	}
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: %s\r\nX-Weight-Versions: 1\r\n%s\r\n\r\n%s", body.Len(), id, w.stamp(in), body.String())
+}
