Review: case 13, a request that crashes workers is let through too often

Cause: each instance forgets its count of crashes after 20 s, and nothing bounds the trials that begin before the next crash is known to the fleet.

--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -18,8 +18,9 @@
 
 // cases holds the cases by the name of their folder. Each returns whether the rule held.
 var cases = map[string]func(*rig) (bool, error){
-	"copy": playCopy,
-	"cut":  playCut,
+	"copy":   playCopy,
+	"cut":    playCut,
+	"poison": playPoison,
 }
 
 // main plays the case that the first argument names. The second one is its folder, to
