Review: case 13 with a slower crash, scripts end their processes on a signal

Cause: with a quick crash the number of requests that are let through at once varied. A request that crashes its worker after 400 ms shows the missing bound.

--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -6,7 +6,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 )
 
 // The exit statuses of a case.
@@ -38,6 +40,14 @@
 		return notRun
 	}
 	defer r.close()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-stop
+		r.record("not run: stopped by a signal")
+		r.close()
+		os.Exit(notRun)
+	}()
 	ok, err := cases[os.Args[1]](r)
 	switch {
 	case err != nil:
--- a/review/rig3/poison.go
+++ b/review/rig3/poison.go
@@ -14,7 +14,7 @@
 	poisonWorkers = 6
 	// crashAfter is how long a worker has run the request when it crashes, backAfter how long
 	// it is away then.
-	crashAfter = 100 * time.Millisecond
+	crashAfter = 400 * time.Millisecond
 	backAfter  = 3 * time.Second
 	// poisonEvery is the time between two client attempts with the request that crashes
 	// workers, liveEvery between two other requests.
@@ -45,7 +45,7 @@
 func playPoison(r *rig) (bool, error) {
 	c := &poisonCase{r: r, conns: make(map[string]map[net.Conn]bool)}
 	r.store.Set("config", "main", fmt.Sprintf(`{"version":3,"routes":[
-{"name":"live","hostname":%[1]q,"path_prefix":"/live/","route_kind":"idempotent","timeout_ms":1500,"target_latency_ms":150,"priority":2,"service":"desk","max_attempts":2,"public":false},
+{"name":"live","hostname":%[1]q,"path_prefix":"/live/","route_kind":"idempotent","timeout_ms":1500,"target_latency_ms":150,"priority":2,"service":"desk","max_attempts":1,"public":false},
 {"name":"once","hostname":%[1]q,"path_prefix":"/once/","route_kind":"non_idempotent","timeout_ms":1500,"target_latency_ms":150,"priority":2,"service":"desk","max_attempts":2,"public":false}],
 "services":[{"name":"desk","health_path":"/healthz","max_conns":110,"protocol":"h1","tls":false}],
 "limits":{"max_header_bytes":16384,"max_body_bytes":33554432,"header_timeout_ms":3000,"idle_timeout_ms":15000},
