--- a/review/rig3/poison.go
+++ b/review/rig3/poison.go
@@ -119,12 +119,17 @@
 	c.crash(w)
 }
 
-// crash ends a worker, and starts it again at the same address later.
+// crash ends a worker that still runs, and starts it again at the same address later.
 func (c *poisonCase) crash(w *worker) {
 	c.mu.Lock()
+	conns := c.conns[w.id]
+	if w.down {
+		c.mu.Unlock()
+		return
+	}
+	w.down = true
 	c.crashes = append(c.crashes, time.Now())
 	n := len(c.crashes)
-	conns := c.conns[w.id]
 	c.conns[w.id] = nil
 	c.mu.Unlock()
 	c.r.record("%s crashes, number %d", w.id, n)
--- a/review/rig3/worker.go
+++ b/review/rig3/worker.go
@@ -27,6 +27,8 @@
 	// seq counts the accepted orders.
 	seq  int
 	born int64
+	// down is set once a case has ended the worker.
+	down bool
 }
 
 // startWorker starts a worker. Its entry is not written.
