Review: case 12, items sent on connections that workers have dropped

Cause: after a reset on a kept connection the next attempt takes another kept one, and each reset keeps the worker and the item waiting.

--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(*rig) (bool, error){
 	"copy":   playCopy,
 	"cut":    playCut,
+	"drop":   playDrop,
 	"poison": playPoison,
 }
 
--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -238,6 +238,20 @@
 // errNotAccepted means that no edge accepted a batch job.
 var errNotAccepted = errors.New("batch job was not accepted")
 
+// submitAt submits a batch job at an edge, once.
+func (r *rig) submitAt(e *edge, id string, job any) error {
+	body, err := json.Marshal(job)
+	if err != nil {
+		return fmt.Errorf("encode batch job: %w", err)
+	}
+	a, err := e.call(http.MethodPost, "/jobs/"+id, id, body, 4*time.Second)
+	r.record("batch job %s sent to %s: %d %v", id, e.name, a.status, err)
+	if a.status != http.StatusAccepted {
+		return errNotAccepted
+	}
+	return nil
+}
+
 // submit submits a batch job, at another edge after each failure.
 func (r *rig) submit(id string, job any) error {
 	body, err := json.Marshal(job)
--- a/review/rig3/worker.go
+++ b/review/rig3/worker.go
@@ -33,15 +33,23 @@
 
 // startWorker starts a worker. Its entry is not written.
 func startWorker(id, service string, slots int, run func(*worker, net.Conn, *http.Request)) (*worker, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	w, err := listenWorker(id, service, slots, run)
 	if err != nil {
-		return nil, fmt.Errorf("listen: %w", err)
+		return nil, err
 	}
-	w := &worker{id: id, service: service, address: ln.Addr().String(), slots: slots, ln: ln, run: run, born: time.Now().UnixMilli()}
 	go w.accept()
 	return w, nil
 }
 
+// listenWorker is startWorker for a case that accepts the connections itself.
+func listenWorker(id, service string, slots int, run func(*worker, net.Conn, *http.Request)) (*worker, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	return &worker{id: id, service: service, address: ln.Addr().String(), slots: slots, ln: ln, run: run, born: time.Now().UnixMilli()}, nil
+}
+
 // register writes the worker's entry to the store.
 func (w *worker) register(s *standin.Store, state string) {
 	s.Set("servers", w.id, fmt.Sprintf(
@@ -133,6 +141,11 @@
 // stream writes the events of an item from the one after Last-Event-Id on. It ends early
 // if the connection is closed.
 func (w *worker) stream(c net.Conn, in *http.Request, interval time.Duration) bool {
+	return w.streamEvents(c, in, events, interval)
+}
+
+// streamEvents is stream for an item of some number of events.
+func (w *worker) streamEvents(c net.Conn, in *http.Request, count int, interval time.Duration) bool {
 	from := 0
 	if last, err := strconv.Atoi(in.Header.Get("Last-Event-Id")); err == nil {
 		from = last + 1
@@ -142,7 +155,7 @@
 	if _, err := io.WriteString(c, head); err != nil {
 		return false
 	}
-	for n := from; n < events; n++ {
+	for n := from; n < count; n++ {
 		time.Sleep(interval)
 		ev := fmt.Sprintf("id: %d\ndata: %s-%d\n\n", n, id, n)
 		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(ev), ev); err != nil {
